--- a/snipejunction/components/consensus/messages.py
+++ b/snipejunction/components/consensus/messages.py
@@ -29,7 +29,14 @@
 class Member(Record):
     """One replica of a group; a learner has no vote yet."""
 
-    __slots__ = ('ip', 'is_voter', 'name', 'peer_port', 'voter_id')
+    __slots__ = (
+        'data_centre',
+        'ip',
+        'is_voter',
+        'name',
+        'peer_port',
+        'voter_id',
+    )
 
     def __init__(
         self,
@@ -38,13 +45,18 @@
         ip: str,
         peer_port: int,
         is_voter: bool,
+        data_centre: str = '',
     ) -> None:
-        """Create a member whose disk has the identity ``voter_id``."""
+        """Create a member whose disk has the identity ``voter_id``.
+
+        ``data_centre`` is empty where operators replace voters themselves.
+        """
         self.voter_id = voter_id
         self.name = name
         self.ip = ip
         self.peer_port = peer_port
         self.is_voter = is_voter
+        self.data_centre = data_centre
 
 
 @wire(12)
--- a/snipejunction/components/consensus/systems/membership.py
+++ b/snipejunction/components/consensus/systems/membership.py
@@ -53,13 +53,13 @@
     """Promote learners that caught up; send operators' changes on."""
     for replica in node.consensus.replicas.values():
         leadership = replica.leadership
-        if leadership is not None and _may_change(replica):
+        if leadership is not None and may_change(replica):
             yield from _promote(replica, leadership, now)
     for number, change in list(node.consensus.changes.items()):
         yield from _pursue(number, change, node, now)
 
 
-def _may_change(replica: Replica) -> bool:
+def may_change(replica: Replica) -> bool:
     """Return whether the last change is committed, and an own entry."""
     if not replica.is_ready:
         return False
@@ -78,7 +78,7 @@
             continue
         is_heard = now < progress.heard_at + QUORUM_SECONDS
         if is_heard and progress.match_index >= replica.commit_index:
-            yield from _propose(replica, _promoted(current, member), now)
+            yield from propose_members(replica, _promoted(current, member), now)
             return
 
 
@@ -94,25 +94,26 @@
         if member.is_voter and member.name == learner.name
     ]
     if lost and len(current.voter_ids) > 1:
-        return _without(current, lost[0].voter_id)
+        return without_member(current, lost[0].voter_id)
     voter = Member(
         learner.voter_id,
         learner.name,
         learner.ip,
         learner.peer_port,
         True,
+        learner.data_centre,
     )
-    kept = _without(current, learner.voter_id).members
+    kept = without_member(current, learner.voter_id).members
     return Configuration([*kept, voter])
 
 
-def _without(current: Configuration, voter_id: str) -> Configuration:
+def without_member(current: Configuration, voter_id: str) -> Configuration:
     return Configuration(
         [member for member in current.members if member.voter_id != voter_id]
     )
 
 
-def _propose(
+def propose_members(
     replica: Replica,
     configuration: Configuration,
     now: float,
@@ -195,7 +196,7 @@
 ) -> Iterator[Command]:
     replica = node.consensus.replicas.get(message.group)
     # The request comes again until the change is settled.
-    if replica is None or not _may_change(replica):
+    if replica is None or not may_change(replica):
         return
     if _is_done(replica, message):
         yield _settled(message, None)
@@ -203,7 +204,7 @@
         yield from _remove(replica, message, now)
     elif replica.membership.current.member(message.member.voter_id) is None:
         members = [*replica.membership.current.members, message.member]
-        yield from _propose(replica, Configuration(members), now)
+        yield from propose_members(replica, Configuration(members), now)
 
 
 def _is_done(replica: Replica, message: VoterChangeForwarded) -> bool:
@@ -226,7 +227,7 @@
     elif voter_id == replica.voter_id:
         start_transfer(replica, now)
     else:
-        yield from _propose(replica, _without(current, voter_id), now)
+        yield from propose_members(replica, without_member(current, voter_id), now)
 
 
 def _settled(
--- /dev/null
+++ b/snipejunction/components/deployment/machine.py
@@ -0,0 +1,136 @@
+"""The state machine of the deployment group."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import msgpack
+
+from snipejunction.commands import Command, LogEvent, SendPeer
+from snipejunction.components.consensus.machine import register_machine
+from snipejunction.components.deployment.const import (
+    EVENT_DOCUMENT_ACCEPTED,
+    EVENT_DRAIN_ACCEPTED,
+)
+from snipejunction.components.deployment.messages import (
+    DocumentEntry,
+    DrainEntry,
+    OrderAnswered,
+    OrderSettled,
+    ReadAnswered,
+    ReadSettled,
+)
+from snipejunction.components.deployment.systems.feeding import feed_all
+from snipejunction.components.deployment.tables import Deployment
+from snipejunction.const import GROUP_DEPLOYMENT
+from snipejunction.helpers.wire import decode
+from snipejunction.node import Node
+
+
+class DeploymentMachine:
+    """Applies committed entries and answers who waits for them."""
+
+    __slots__ = ('_state',)
+
+    def __init__(self) -> None:
+        """Create a machine in the state at the start."""
+        self._state = Deployment()
+
+    def apply(
+        self,
+        node: Node,
+        index: int,
+        term: int,
+        payload: bytes,
+        now: float,
+    ) -> Iterator[Command]:
+        """Apply an entry, feed it to the entry hosts, then answer."""
+        self._state.index = index
+        node.deployment.state = self._state
+        yield from _apply_entry(decode(payload), self._state)
+        yield from feed_all(node, now)
+        order = node.deployment.orders.pop(index, None)
+        if order is None or order.term != term:
+            # Another leader's entry took the place: the outcome of the
+            # order is not known here.
+            return
+        if order.origin:
+            yield SendPeer(order.origin, OrderSettled(order.call_id))
+        else:
+            yield OrderAnswered(order.call_id, True)
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        state = self._state
+        fields = [state.index, state.version, state.content, state.out]
+        return bytes(msgpack.packb(fields))
+
+    def restore(
+        self,
+        node: Node,
+        state: bytes,
+        index: int,
+        now: float,
+    ) -> Iterator[Command]:
+        """Replace the state and feed it to the entry hosts."""
+        self._state = Deployment()
+        if state:
+            fields = msgpack.unpackb(state)
+            self._state.index = fields[0]
+            self._state.version = fields[1]
+            self._state.content = fields[2]
+            self._state.out = fields[3]
+        node.deployment.state = self._state
+        yield from feed_all(node, now)
+
+    def on_confirmed(
+        self,
+        node: Node,
+        token: int,
+        now: float,
+    ) -> Iterator[Command]:
+        """Answer a read from a state that is certainly the newest."""
+        read = node.deployment.reads.pop(token, None)
+        if read is None:
+            return
+        call_id, origin = read
+        state = node.deployment.state
+        if origin:
+            answer = ReadSettled(call_id, state.version, state.content)
+            yield SendPeer(origin, answer)
+        else:
+            yield ReadAnswered(call_id, state.version, state.content)
+
+    def on_leadership(
+        self,
+        node: Node,
+        is_leader: bool,
+        now: float,
+    ) -> Iterator[Command]:
+        """Forget whom to answer: operators ask again."""
+        node.deployment.orders.clear()
+        node.deployment.reads.clear()
+        return iter(())
+
+
+def _apply_entry(entry: object, state: Deployment) -> Iterator[Command]:
+    if isinstance(entry, DocumentEntry):
+        if entry.version > state.version:
+            state.version = entry.version
+            state.content = entry.content
+            yield LogEvent(
+                EVENT_DOCUMENT_ACCEPTED,
+                version=entry.version,
+                index=state.index,
+            )
+    elif isinstance(entry, DrainEntry):
+        state.out[entry.data_centre] = entry.is_out
+        yield LogEvent(
+            EVENT_DRAIN_ACCEPTED,
+            data_centre=entry.data_centre,
+            is_out=entry.is_out,
+            index=state.index,
+        )
+
+
+register_machine(GROUP_DEPLOYMENT, DeploymentMachine)
--- /dev/null
+++ b/snipejunction/components/deployment/messages.py
@@ -0,0 +1,219 @@
+"""Messages, entries and commands of the deployment component."""
+
+from __future__ import annotations
+
+from snipejunction.commands import Command
+from snipejunction.helpers.records import Record
+from snipejunction.helpers.wire import wire
+from snipejunction.messages import Message, PeerMessage
+
+
+@wire(140)
+class DocumentEntry(Record):
+    """Entry of the log: a whole document; the highest version holds."""
+
+    __slots__ = ('content', 'version')
+
+    def __init__(self, version: int, content: bytes) -> None:
+        """Create an entry; ``content`` is the document as it was sent."""
+        self.version = version
+        self.content = content
+
+
+@wire(141)
+class DrainEntry(Record):
+    """Entry of the log: a data centre is taken out or comes back."""
+
+    __slots__ = ('data_centre', 'is_out')
+
+    def __init__(self, data_centre: str, is_out: bool) -> None:
+        """Create an entry."""
+        self.data_centre = data_centre
+        self.is_out = is_out
+
+
+@wire(142)
+class OrderForwarded(PeerMessage):
+    """An operator's order on its way to the leader."""
+
+    __slots__ = ('call_id', 'payload')
+
+    def __init__(self, call_id: int, payload: bytes) -> None:
+        """Create a request; ``payload`` is an encoded entry."""
+        self.call_id = call_id
+        self.payload = payload
+
+
+@wire(143)
+class OrderSettled(PeerMessage):
+    """The leader's answer: the order is committed and applied."""
+
+    __slots__ = ('call_id',)
+
+    def __init__(self, call_id: int) -> None:
+        """Create an answer to the host that forwarded the order."""
+        self.call_id = call_id
+
+
+@wire(144)
+class ReadForwarded(PeerMessage):
+    """A read of the document on its way to the leader."""
+
+    __slots__ = ('call_id',)
+
+    def __init__(self, call_id: int) -> None:
+        """Create a request."""
+        self.call_id = call_id
+
+
+@wire(145)
+class ReadSettled(PeerMessage):
+    """The newest document; a quorum confirmed the leader since the read."""
+
+    __slots__ = ('call_id', 'content', 'version')
+
+    def __init__(self, call_id: int, version: int, content: bytes) -> None:
+        """Create an answer; version 0 means that there is no document."""
+        self.call_id = call_id
+        self.version = version
+        self.content = content
+
+
+@wire(146)
+class DeploymentFed(PeerMessage):
+    """The whole deployment after the log entry at ``index``.
+
+    ``out`` maps each data centre that was ever drained to its state.
+    """
+
+    __slots__ = ('content', 'index', 'out', 'version')
+
+    def __init__(
+        self,
+        index: int,
+        version: int,
+        content: bytes,
+        out: dict[str, bool],
+    ) -> None:
+        """Create a message to an entry host."""
+        self.index = index
+        self.version = version
+        self.content = content
+        self.out = out
+
+
+@wire(147)
+class EntryPresence(PeerMessage):
+    """What an entry host says of itself to every control host."""
+
+    __slots__ = ('address', 'data_centre', 'index', 'is_leaving', 'region')
+
+    def __init__(
+        self,
+        data_centre: str,
+        region: str,
+        address: str,
+        is_leaving: bool,
+        index: int,
+    ) -> None:
+        """Create a presence.
+
+        ``address`` is where callers connect; ``index`` is that of the
+        deployment in force at the host.
+        """
+        self.data_centre = data_centre
+        self.region = region
+        self.address = address
+        self.is_leaving = is_leaving
+        self.index = index
+
+
+@wire(148)
+class HostsFed(PeerMessage):
+    """The control hosts and the entry hosts that the sender knows."""
+
+    __slots__ = ('controls', 'entries')
+
+    def __init__(self, controls: list[str], entries: list[str]) -> None:
+        """Create a message to an entry host; both are lists of names."""
+        self.controls = controls
+        self.entries = entries
+
+
+@wire(149)
+class ControlPresence(PeerMessage):
+    """What a control host says of itself to the others it knows of."""
+
+    __slots__ = ('data_centre', 'ip', 'peer_port', 'voter_id')
+
+    def __init__(
+        self,
+        voter_id: str,
+        ip: str,
+        peer_port: int,
+        data_centre: str,
+    ) -> None:
+        """Create a presence of the disk ``voter_id``."""
+        self.voter_id = voter_id
+        self.ip = ip
+        self.peer_port = peer_port
+        self.data_centre = data_centre
+
+
+class OrderAsked(Message):
+    """An operator's order; ``OrderAnswered`` answers it."""
+
+    __slots__ = ('call_id', 'entry')
+
+    def __init__(self, call_id: int, entry: DocumentEntry | DrainEntry) -> None:
+        """Create an order."""
+        self.call_id = call_id
+        self.entry = entry
+
+
+class OrderAbandoned(Message):
+    """Nobody waits for an order or a read any more."""
+
+    __slots__ = ('call_id',)
+
+    def __init__(self, call_id: int) -> None:
+        """Create a notice."""
+        self.call_id = call_id
+
+
+class OrderAnswered(Command):
+    """Tell an operator whether the order is known to be committed."""
+
+    __slots__ = ('call_id', 'is_accepted')
+
+    def __init__(self, call_id: int, is_accepted: bool) -> None:
+        """Create an answer; without acceptance the outcome is unknown."""
+        self.call_id = call_id
+        self.is_accepted = is_accepted
+
+
+class ReadAsked(Message):
+    """An operator's read; ``ReadAnswered`` answers it."""
+
+    __slots__ = ('call_id',)
+
+    def __init__(self, call_id: int) -> None:
+        """Create a read."""
+        self.call_id = call_id
+
+
+class ReadAnswered(Command):
+    """The newest document for an operator, None if it is not certain."""
+
+    __slots__ = ('call_id', 'content', 'version')
+
+    def __init__(
+        self,
+        call_id: int,
+        version: int,
+        content: bytes | None,
+    ) -> None:
+        """Create an answer; version 0 means that there is no document."""
+        self.call_id = call_id
+        self.version = version
+        self.content = content
--- /dev/null
+++ b/snipejunction/components/deployment/systems/__init__.py
@@ -0,0 +1,10 @@
+"""Systems of the deployment component."""
+
+from snipejunction.components.deployment import machine
+from snipejunction.components.deployment.systems import (
+    feeding,
+    orders,
+    recruiting,
+)
+
+__all__ = ('feeding', 'machine', 'orders', 'recruiting')
--- /dev/null
+++ b/snipejunction/components/deployment/systems/orders.py
@@ -0,0 +1,173 @@
+"""Orders and reads of operators on their way through the log."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from snipejunction.commands import Command, Deliver, LogEvent, SendPeer
+from snipejunction.components.consensus.messages import FlushLog
+from snipejunction.components.consensus.replica import Replica
+from snipejunction.components.consensus.systems.proposals import (
+    confirm,
+    propose,
+)
+from snipejunction.components.deployment.const import (
+    EVENT_ORDER_PASSED_ON,
+    EVENT_ORDER_UNPLACED,
+    MAX_OPEN_ORDERS,
+)
+from snipejunction.components.deployment.messages import (
+    DocumentEntry,
+    OrderAbandoned,
+    OrderAnswered,
+    OrderAsked,
+    OrderForwarded,
+    OrderSettled,
+    ReadAnswered,
+    ReadAsked,
+    ReadForwarded,
+    ReadSettled,
+)
+from snipejunction.components.deployment.tables import PendingOrder
+from snipejunction.const import GROUP_DEPLOYMENT
+from snipejunction.handling import handle
+from snipejunction.helpers.wire import encode
+from snipejunction.node import Node
+
+
+@handle.register
+def _take_order(
+    message: OrderAsked,
+    node: Node,
+    now: float,
+) -> Iterator[Command]:
+    entry = message.entry
+    replica = _replica(node)
+    is_document = isinstance(entry, DocumentEntry)
+    if is_document and entry.version <= node.deployment.state.version:
+        # Committed state already holds this version or a higher one.
+        yield OrderAnswered(message.call_id, True)
+    elif _propose(replica, encode(entry), message.call_id, '', node):
+        yield Deliver(FlushLog(GROUP_DEPLOYMENT))
+    elif replica.leader_name in {None, node.name}:
+        yield LogEvent(EVENT_ORDER_UNPLACED, call_id=message.call_id)
+        yield OrderAnswered(message.call_id, False)
+    else:
+        leader = str(replica.leader_name)
+        yield LogEvent(
+            EVENT_ORDER_PASSED_ON,
+            call_id=message.call_id,
+            leader=leader,
+        )
+        yield SendPeer(leader, OrderForwarded(message.call_id, encode(entry)))
+
+
+@handle.register
+def _take_forwarded(
+    message: OrderForwarded,
+    node: Node,
+    now: float,
+) -> Iterator[Command]:
+    replica = node.consensus.replicas.get(GROUP_DEPLOYMENT)
+    if replica is None:
+        return
+    if _propose(
+        replica,
+        message.payload,
+        message.call_id,
+        message.sender,
+        node,
+    ):
+        yield Deliver(FlushLog(GROUP_DEPLOYMENT))
+
+
+@handle.register
+def _take_settled(
+    message: OrderSettled,
+    node: Node,
+    now: float,
+) -> Iterator[Command]:
+    yield OrderAnswered(message.call_id, True)
+
+
+@handle.register
+def _take_read(
+    message: ReadAsked,
+    node: Node,
+    now: float,
+) -> Iterator[Command]:
+    replica = _replica(node)
+    if _confirm(replica, message.call_id, '', node):
+        yield Deliver(FlushLog(GROUP_DEPLOYMENT))
+    elif replica.leader_name in {None, node.name}:
+        yield LogEvent(EVENT_ORDER_UNPLACED, call_id=message.call_id)
+        yield ReadAnswered(message.call_id, 0, None)
+    else:
+        leader = str(replica.leader_name)
+        yield SendPeer(leader, ReadForwarded(message.call_id))
+
+
+@handle.register
+def _take_forwarded_read(
+    message: ReadForwarded,
+    node: Node,
+    now: float,
+) -> Iterator[Command]:
+    replica = node.consensus.replicas.get(GROUP_DEPLOYMENT)
+    if replica is None:
+        return
+    if _confirm(replica, message.call_id, message.sender, node):
+        yield Deliver(FlushLog(GROUP_DEPLOYMENT))
+
+
+@handle.register
+def _take_settled_read(
+    message: ReadSettled,
+    node: Node,
+    now: float,
+) -> Iterator[Command]:
+    yield ReadAnswered(message.call_id, message.version, message.content)
+
+
+@handle.register
+def _forget(
+    message: OrderAbandoned,
+    node: Node,
+    now: float,
+) -> Iterator[Command]:
+    # A committed entry stays; only nobody is told.
+    table = node.deployment
+    for index, order in list(table.orders.items()):
+        if order.call_id == message.call_id and not order.origin:
+            table.orders.pop(index)
+    for token, read in list(table.reads.items()):
+        if read == (message.call_id, ''):
+            table.reads.pop(token)
+    return iter(())
+
+
+def _replica(node: Node) -> Replica:
+    return node.consensus.replicas[GROUP_DEPLOYMENT]
+
+
+def _propose(
+    replica: Replica,
+    payload: bytes,
+    call_id: int,
+    origin: str,
+    node: Node,
+) -> bool:
+    if len(node.deployment.orders) >= MAX_OPEN_ORDERS:
+        return False
+    proposal = propose(replica, payload)
+    if proposal is None:
+        return False
+    order = PendingOrder(call_id, origin, proposal.term)
+    node.deployment.orders[proposal.index] = order
+    return True
+
+
+def _confirm(replica: Replica, call_id: int, origin: str, node: Node) -> bool:
+    if not replica.is_ready or len(node.deployment.reads) >= MAX_OPEN_ORDERS:
+        return False
+    return confirm(replica, node.deployment.add_read(call_id, origin))
--- /dev/null
+++ b/snipejunction/components/deployment/systems/recruiting.py
@@ -0,0 +1,174 @@
+"""Control hosts find each other and keep one voter for a data centre.
+
+No host is told how many there are. A control host tells those it knows that
+it is there; the leader adds it as a learner, and the replicated log promotes
+it once it caught up. A voter that is silent is removed only when another
+voter of its data centre has taken its place: silence alone proves nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from snipejunction.commands import Command, LogEvent, SendPeer
+from snipejunction.components.consensus.leadership import Leadership
+from snipejunction.components.consensus.messages import Configuration, Member
+from snipejunction.components.consensus.replica import Replica
+from snipejunction.components.consensus.systems.membership import (
+    may_change,
+    propose_members,
+    without_member,
+)
+from snipejunction.components.deployment.const import (
+    CUT_OFF_SECONDS,
+    EVENT_CONTROL_JOINS,
+    EVENT_CONTROL_REPLACED,
+    EVENT_CUT_OFF,
+    EVENT_REJOINED,
+    PRESENCE_SECONDS,
+    REPLACE_SECONDS,
+)
+from snipejunction.components.deployment.messages import ControlPresence
+from snipejunction.const import GROUP_DEPLOYMENT
+from snipejunction.handling import handle, on_tick
+from snipejunction.node import Node
+
+
+def known_controls(node: Node) -> list[str]:
+    """Return the names of the members, of the seeds if there are none."""
+    replica = node.consensus.replicas.get(GROUP_DEPLOYMENT)
+    if replica is None:
+        return []
+    members = replica.membership.current.members
+    if not members:
+        return sorted(node.deployment.seeds)
+    return sorted({member.name for member in members})
+
+
+def is_cut_off(node: Node, now: float) -> bool:
+    """Return whether no leader was heard for longer than an election."""
+    replica = node.consensus.replicas.get(GROUP_DEPLOYMENT)
+    if replica is None or replica.is_leader:
+        return replica is None
+    return now > replica.heard_leader_at + CUT_OFF_SECONDS
+
+
+@on_tick
+def run_recruiting(node: Node, now: float) -> Iterator[Command]:
+    """Announce this control host; let leaders replace lost voters."""
+    replica = node.consensus.replicas.get(GROUP_DEPLOYMENT)
+    if replica is None:
+        return
+    if now >= node.deployment.presence_due:
+        node.deployment.presence_due = now + PRESENCE_SECONDS
+        yield from _announce(replica, node)
+        yield from _note_cut(replica, node, now)
+    leadership = replica.leadership
+    if leadership is not None and may_change(replica):
+        yield from _replace(replica, leadership, now)
+
+
+def _announce(replica: Replica, node: Node) -> Iterator[Command]:
+    identity = node.identity
+    own = replica.membership.current.member(replica.voter_id)
+    if own is not None and own.data_centre:
+        return
+    presence = ControlPresence(
+        replica.voter_id,
+        identity.ip,
+        identity.peer_port,
+        identity.data_centre,
+    )
+    for name in sorted({*known_controls(node), *node.deployment.seeds}):
+        if name != node.name:
+            yield SendPeer(name, presence)
+    if replica.is_leader:
+        presence.sender = node.name
+        yield from _take_presence(presence, node, node.deployment.presence_due)
+
+
+def _note_cut(replica: Replica, node: Node, now: float) -> Iterator[Command]:
+    table = node.deployment
+    if not is_cut_off(node, now):
+        if table.cut_off_since is not None:
+            table.cut_off_since = None
+            yield LogEvent(EVENT_REJOINED, leader=replica.leader_name)
+    elif table.cut_off_since is None:
+        table.cut_off_since = now
+        age = round(now - replica.heard_leader_at, 3)
+        yield LogEvent(EVENT_CUT_OFF, age=age)
+
+
+@handle.register
+def _take_presence(
+    message: ControlPresence,
+    node: Node,
+    now: float,
+) -> Iterator[Command]:
+    replica = node.consensus.replicas.get(GROUP_DEPLOYMENT)
+    if replica is None or not may_change(replica):
+        # It comes again.
+        return
+    current = replica.membership.current
+    member = current.member(message.voter_id)
+    if member is None:
+        yield LogEvent(
+            EVENT_CONTROL_JOINS,
+            name=message.sender,
+            data_centre=message.data_centre,
+            voter_id=message.voter_id,
+        )
+    elif member.data_centre:
+        return
+    placed = Member(
+        message.voter_id,
+        message.sender,
+        message.ip,
+        message.peer_port,
+        member is not None and member.is_voter,
+        message.data_centre,
+    )
+    kept = without_member(current, message.voter_id).members
+    yield from propose_members(replica, Configuration([*kept, placed]), now)
+
+
+def _replace(
+    replica: Replica,
+    leadership: Leadership,
+    now: float,
+) -> Iterator[Command]:
+    current = replica.membership.current
+    for member in current.members:
+        silence = _silence(member, replica, leadership, now)
+        if silence < REPLACE_SECONDS:
+            continue
+        heirs = [
+            other
+            for other in current.members
+            if other.is_voter
+            and other.voter_id != member.voter_id
+            and other.data_centre == member.data_centre
+            and _silence(other, replica, leadership, now) < PRESENCE_SECONDS
+        ]
+        if heirs and member.data_centre:
+            yield LogEvent(
+                EVENT_CONTROL_REPLACED,
+                name=member.name,
+                seconds=round(silence, 3),
+                data_centre=member.data_centre,
+            )
+            reduced = without_member(current, member.voter_id)
+            yield from propose_members(replica, reduced, now)
+            return
+
+
+def _silence(
+    member: Member,
+    replica: Replica,
+    leadership: Leadership,
+    now: float,
+) -> float:
+    if member.voter_id == replica.voter_id:
+        return 0.0
+    progress = leadership.progress.get(member.voter_id)
+    return 0.0 if progress is None else now - progress.heard_at
--- /dev/null
+++ b/snipejunction/components/deployment/tables.py
@@ -0,0 +1,96 @@
+"""Tables of the deployment component on a control host."""
+
+from __future__ import annotations
+
+from snipejunction.components.deployment.messages import EntryPresence
+from snipejunction.timers import NEVER
+
+
+class Deployment:
+    """The replicated state; the same on every replica at one index.
+
+    Version 0 stands for the state before the first document.
+    """
+
+    __slots__ = ('content', 'index', 'out', 'version')
+
+    def __init__(self) -> None:
+        """Create the state at the start."""
+        self.index = 0
+        self.version = 0
+        self.content = b''
+        self.out: dict[str, bool] = {}
+
+
+class PendingOrder:
+    """A proposed order and who asked for it; times are monotonic seconds.
+
+    ``origin`` is the name of the host that forwarded it, empty for this one.
+    """
+
+    __slots__ = ('call_id', 'origin', 'term')
+
+    def __init__(self, call_id: int, origin: str, term: int) -> None:
+        """Create an order that is proposed in ``term``."""
+        self.call_id = call_id
+        self.origin = origin
+        self.term = term
+
+
+class ConnectedEntry:
+    """An entry host with a stream to this control host.
+
+    ``fed_index`` is the index of the last deployment sent to it; ``lags``
+    counts the presences in a row that were behind.
+    """
+
+    __slots__ = ('fed_index', 'heard_at', 'lags', 'presence')
+
+    def __init__(self, presence: EntryPresence, now: float) -> None:
+        """Create an entry of a host heard at ``now``."""
+        self.presence = presence
+        self.heard_at = now
+        self.fed_index = 0
+        self.lags = 0
+
+
+class DeploymentTable:
+    """What a control host knows of the deployment and of other hosts."""
+
+    __slots__ = (
+        '_next_token',
+        'cut_off_since',
+        'entries',
+        'is_leaving',
+        'orders',
+        'presence_due',
+        'reads',
+        'seeds',
+        'state',
+    )
+
+    def __init__(self) -> None:
+        """Create a table that knows nobody."""
+        self.state = Deployment()
+        self.seeds: tuple[str, ...] = ()
+        self.entries: dict[str, ConnectedEntry] = {}
+        self.orders: dict[int, PendingOrder] = {}
+        self.reads: dict[int, tuple[int, str]] = {}
+        self.presence_due = -NEVER
+        self.cut_off_since: float | None = None
+        self.is_leaving = False
+        self._next_token = 0
+
+    def add_read(self, call_id: int, origin: str) -> int:
+        """Keep a read until it is confirmed; return its token."""
+        self._next_token += 1
+        self.reads[self._next_token] = (call_id, origin)
+        return self._next_token
+
+    def entry_names(self) -> list[str]:
+        """Return the entry hosts that take new work, by name."""
+        return sorted(
+            name
+            for name, entry in self.entries.items()
+            if not entry.presence.is_leaving
+        )
--- /dev/null
+++ b/snipejunction/components/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers on an entry host: routes, searchers, attempts."""
--- /dev/null
+++ b/snipejunction/components/gateway/budget.py
@@ -0,0 +1,61 @@
+"""Budget for repeats: what one host may add to the load of a service."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from snipejunction.components.gateway.const import BUDGET_SHARE
+
+
+class RepeatLimits:
+    """Bounds for the whole system in any window of ``window`` seconds.
+
+    A service may get ``ratio`` of its requests and ``slack`` more as
+    repeats.
+    """
+
+    __slots__ = ('ratio', 'slack', 'window')
+
+    def __init__(self, ratio: float, slack: float, window: float) -> None:
+        """Create limits."""
+        self.ratio = ratio
+        self.slack = slack
+        self.window = window
+
+
+class RepeatBudget:
+    """Requests and repeats of one service within the last window.
+
+    Each host keeps to the ratio for its own requests and to its share of
+    the slack, so that all hosts together keep the limits without talking.
+    """
+
+    __slots__ = ('_limits', '_repeats', '_requests')
+
+    def __init__(self, limits: RepeatLimits) -> None:
+        """Create an unused budget."""
+        self._limits = limits
+        self._requests: deque[float] = deque()
+        self._repeats: deque[float] = deque()
+
+    def note_request(self, now: float) -> None:
+        """Count the first send of a request."""
+        self._requests.append(now)
+        self._expire(self._requests, now)
+
+    def note_repeat(self, now: float) -> None:
+        """Count any further send."""
+        self._repeats.append(now)
+
+    def left(self, hosts: int, now: float) -> float:
+        """Return how many repeats are left among ``hosts`` hosts."""
+        self._expire(self._requests, now)
+        self._expire(self._repeats, now)
+        allowed = len(self._requests) * self._limits.ratio
+        allowed += self._limits.slack / max(1, hosts)
+        return allowed * BUDGET_SHARE - len(self._repeats)
+
+    def _expire(self, times: deque[float], now: float) -> None:
+        oldest = now - self._limits.window
+        while times and times[0] < oldest:
+            times.popleft()
--- /dev/null
+++ b/snipejunction/components/gateway/choosing.py
@@ -0,0 +1,113 @@
+"""Choice of the searcher for one attempt."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from typing import Final
+
+from snipejunction.components.gateway.const import (
+    AWAY_FACTOR,
+    AWAY_SECONDS,
+    COLD_RATE,
+    MAX_FAILURE_SHARE,
+)
+from snipejunction.components.gateway.document import Route
+from snipejunction.components.gateway.tables import GatewayTable
+from snipejunction.components.gateway.upstreams import Upstream
+from snipejunction.components.registration.const import READY
+from snipejunction.helpers.rendezvous import choose
+
+# Classes of searchers, the best first.
+_SOUND: Final = 0
+_DOUBTFUL: Final = 1
+_STALLED: Final = 2
+_COLD: Final = 3
+
+
+def choose_upstream(
+    service: str,
+    route: Route,
+    excluded: Collection[str],
+    table: GatewayTable,
+    now: float,
+) -> Upstream | None:
+    """Return the searcher that will probably answer first, if any.
+
+    Searchers of this data centre go first unless they are much slower:
+    bytes between data centres are dear. ``excluded`` are ids.
+    """
+    usual = table.times_of(route.name).median or route.objective / 4
+    best: Upstream | None = None
+    best_rank = (float('inf'), float('inf'), 0.0)
+    limit = table.connection_limit(service)
+    for upstream in table.upstreams_by_service.get(service, {}).values():
+        if upstream.searcher_id in excluded:
+            continue
+        if not _is_usable(upstream, route, limit, table, now):
+            continue
+        rank = (
+            float(_grade(upstream, now)),
+            _cost(upstream, usual, table, now),
+            table.random.random(),
+        )
+        if rank < best_rank:
+            best = upstream
+            best_rank = rank
+    return best
+
+
+def _is_usable(
+    upstream: Upstream,
+    route: Route,
+    limit: int,
+    table: GatewayTable,
+    now: float,
+) -> bool:
+    record = upstream.record
+    if record.state != READY or now < upstream.refused_until:
+        return False
+    if table.out.get(record.data_centre, False):
+        return False
+    if upstream.in_flight >= limit:
+        return False
+    region = table.regions.get(record.data_centre, '')
+    if route.regions and region not in route.regions:
+        return False
+    return now >= upstream.cold_until or _may_warm(upstream, table, now)
+
+
+def _may_warm(upstream: Upstream, table: GatewayTable, now: float) -> bool:
+    """Return whether this host may send to a cold searcher now.
+
+    One host is in charge of each cold searcher: the sum over all hosts is
+    bounded by what it bears.
+    """
+    if now < upstream.last_cold_send + 1 / COLD_RATE:
+        return False
+    return choose(upstream.searcher_id, table.entries) == table.name
+
+
+def _grade(upstream: Upstream, now: float) -> int:
+    if now < upstream.cold_until:
+        return _COLD
+    if upstream.is_stalled(now):
+        return _STALLED
+    if upstream.failure(now) > MAX_FAILURE_SHARE:
+        return _DOUBTFUL
+    return _SOUND
+
+
+def _cost(
+    upstream: Upstream,
+    usual: float,
+    table: GatewayTable,
+    now: float,
+) -> float:
+    record = upstream.record
+    load = 1 + upstream.in_flight / max(1, record.slots)
+    expected = usual * upstream.slowness(now) * load
+    if record.data_centre == table.data_centre:
+        return expected
+    if table.regions.get(record.data_centre) != table.region:
+        expected += AWAY_SECONDS
+    return expected * AWAY_FACTOR
--- /dev/null
+++ b/snipejunction/components/gateway/const.py
@@ -0,0 +1,101 @@
+"""Constants of the gateway component."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from snipejunction.commands import EventKind
+
+# Time that an answer takes from this host to its caller, in seconds: a
+# partial answer leaves this long before the objective of its route.
+ANSWER_MARGIN_SECONDS: Final = 0.012
+# An answer of this host leaves this long before the time of a request runs
+# out, in seconds.
+DEADLINE_MARGIN_SECONDS: Final = 0.008
+# Share of the budget for repeats that this host uses: the rest covers hosts
+# that count with an older list of hosts.
+BUDGET_SHARE: Final = 0.7
+# Weight of a new sample in the moving averages of one searcher.
+LATENCY_WEIGHT: Final = 0.12
+FAILURE_WEIGHT: Final = 0.15
+# Time after which half of what is held against a searcher is forgotten, in
+# seconds: about as long as a short disruption lasts.
+FORGET_SECONDS: Final = 2.0
+# Hedges start after this quantile of the times of a route.
+HEDGE_QUANTILE: Final = 0.93
+# Samples that a quantile is taken from, and new ones between two looks.
+QUANTILE_SAMPLES: Final = 256
+QUANTILE_REFRESH: Final = 16
+# A hedge waits at least this long, in seconds: two turns of a busy loop.
+MIN_HEDGE_SECONDS: Final = 0.008
+# Share of the objective after which a hedge starts at the latest.
+MAX_HEDGE_SHARE: Final = 0.35
+# A searcher in another data centre has to be this much faster to be chosen,
+# because bytes between data centres are dear.
+AWAY_FACTOR: Final = 3.0
+# Time of a round trip to another region, in seconds; added to what is
+# expected of searchers there before any sample.
+AWAY_SECONDS: Final = 0.016
+# Searchers whose failures exceed this share are chosen last.
+MAX_FAILURE_SHARE: Final = 0.3
+# Time that a searcher is left alone after it refused a connection, in
+# seconds.
+REFUSED_SECONDS: Final = 0.5
+# Requests a second that the one host in charge sends to a cold searcher.
+# Two hosts may believe to be in charge while the list of hosts changes.
+COLD_RATE: Final = 2.0
+# Time that a caller is asked to wait after a refusal, in seconds.
+RETRY_AFTER_SECONDS: Final = 0.1
+# Sends of one part that no searcher ran, beyond the attempts of its route.
+MAX_REFUSED_SENDS: Final = 2
+# Time that a searcher may go on with work that nobody waits for, in seconds.
+ABANDON_SECONDS: Final = 0.3
+
+EVENT_DOCUMENT_TAKEN: Final = EventKind(
+    940,
+    'info',
+    'document {version} is in force here, index {index}, from {source}',
+)
+EVENT_DOCUMENT_UNREADABLE: Final = EventKind(
+    941,
+    'error',
+    'document {version} cannot be read and is not in force: {reason}',
+)
+EVENT_SEARCHER_LEARNED: Final = EventKind(
+    942,
+    'info',
+    'searcher {searcher} of {service} is {state} at sequence {sequence}',
+)
+EVENT_DRAIN_LEARNED: Final = EventKind(
+    943,
+    'info',
+    'data centre {data_centre} is out: {is_out}',
+)
+EVENT_REQUEST_DONE: Final = EventKind(
+    944,
+    'info',
+    'request {request} on {route}: {status} after {ms} ms, {covered} of '
+    '{parts} parts, document {version}, outcome {outcome}',
+)
+EVENT_REQUEST_FAILED: Final = EventKind(
+    945,
+    'warning',
+    'request {request} on {route}: {status} after {ms} ms, {covered} of '
+    '{parts} parts, document {version}, outcome {outcome}, cause {cause}',
+)
+EVENT_REPEATED: Final = EventKind(
+    946,
+    'info',
+    'request {request}: {reason} of {service} after {ms} ms at {searcher}, '
+    'now at {second}, budget left {budget}',
+)
+EVENT_SEARCHER_SUSPECT: Final = EventKind(
+    947,
+    'warning',
+    'searcher {searcher} of {service} at {address}: {reason}',
+)
+EVENT_NO_REPEAT: Final = EventKind(
+    948,
+    'info',
+    'request {request}: no repeat for {service}: {reason}',
+)
--- /dev/null
+++ b/snipejunction/components/gateway/replies.py
@@ -0,0 +1,116 @@
+"""What becomes of an attempt and of a request."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from snipejunction.helpers.records import Record
+
+
+class Reply(Record):
+    """A complete answer of a searcher.
+
+    ``signature`` is the searcher's proof of origin, empty without one.
+    ``headers`` are those that go on to the caller, as names and values.
+    """
+
+    __slots__ = ('body', 'headers', 'signature', 'status')
+
+    def __init__(
+        self,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+        signature: str,
+    ) -> None:
+        """Create a reply."""
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.signature = signature
+
+    @property
+    def is_success(self) -> bool:
+        """Return whether the searcher answered with success."""
+        return 200 <= self.status < 300
+
+
+class Fate(Enum):
+    """What an attempt proves about the request at its searcher."""
+
+    ANSWERED = 'answered'
+    # The searcher stated that it did not run the request.
+    SHED = 'shed'
+    # Another searcher has the address.
+    MISDIRECTED = 'misdirected'
+    # No byte of the request left this host.
+    UNSENT = 'unsent'
+    REFUSED = 'refused'
+    # Anything else: it may have run.
+    LOST = 'lost'
+
+    @property
+    def has_not_run(self) -> bool:
+        """Return whether the request certainly did not run."""
+        return self not in {Fate.ANSWERED, Fate.LOST}
+
+
+class Outcome(Record):
+    """How an attempt ended; ``reply`` is there if it was answered."""
+
+    __slots__ = ('detail', 'fate', 'reply')
+
+    def __init__(
+        self,
+        fate: Fate,
+        reply: Reply | None = None,
+        detail: str = '',
+    ) -> None:
+        """Create an outcome; ``detail`` is for the log."""
+        self.fate = fate
+        self.reply = reply
+        self.detail = detail
+
+
+class Answer(Record):
+    """What the caller gets.
+
+    ``signatures`` and ``missing`` are there for merged answers only. A
+    ``retry_after`` above 0 promises that the request did not run.
+    """
+
+    __slots__ = (
+        'body',
+        'cause',
+        'covered',
+        'headers',
+        'missing',
+        'parts',
+        'retry_after',
+        'signatures',
+        'status',
+    )
+
+    def __init__(
+        self,
+        status: int,
+        *,
+        headers: list[tuple[bytes, bytes]] | None = None,
+        body: bytes = b'',
+        cause: str = '',
+        retry_after: float = 0,
+        signatures: list[str] | None = None,
+        missing: int = 0,
+        covered: int = 0,
+        parts: int = 0,
+    ) -> None:
+        """Create an answer; ``cause`` is why it is none of success."""
+        self.status = status
+        self.headers = headers or []
+        self.body = body
+        self.cause = cause
+        self.retry_after = retry_after
+        self.signatures = signatures
+        self.missing = missing
+        self.covered = covered
+        self.parts = parts
--- /dev/null
+++ b/snipejunction/components/gateway/routing.py
@@ -0,0 +1,48 @@
+"""Choice of the route and of its target."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from snipejunction.components.gateway.document import Route
+
+
+class RouteIndex:
+    """Routes by host; the longest prefix of the path wins."""
+
+    __slots__ = ('_by_host',)
+
+    def __init__(self, routes: Iterable[Route] = ()) -> None:
+        """Create an index of ``routes``."""
+        self._by_host: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            prefixes = self._by_host.setdefault(route.host, {})
+            prefixes[route.path_prefix] = route
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of a request, None if there is none.
+
+        ``path`` comes without its query.
+        """
+        prefixes = self._by_host.get(host)
+        if prefixes is None:
+            return None
+        # Each prefix ends with a slash, so only those places matter.
+        end = path.rfind('/')
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind('/', 0, end)
+        return None
+
+
+def pick_target(route: Route, point: float) -> str:
+    """Return a target of the route; ``point`` is uniform in [0, 1)."""
+    total = sum(target.weight for target in route.targets)
+    rest = point * total
+    for target in route.targets:
+        rest -= target.weight
+        if rest < 0:
+            return target.service
+    return route.targets[-1].service
--- /dev/null
+++ b/snipejunction/components/gateway/run.py
@@ -0,0 +1,395 @@
+"""One request of a caller: its parts, their attempts, its answer."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Final
+
+from snipejunction.commands import Command, LogEvent
+from snipejunction.components.gateway.choosing import choose_upstream
+from snipejunction.components.gateway.const import (
+    ANSWER_MARGIN_SECONDS,
+    DEADLINE_MARGIN_SECONDS,
+    EVENT_NO_REPEAT,
+    EVENT_REPEATED,
+    MAX_HEDGE_SHARE,
+    MAX_REFUSED_SENDS,
+    MIN_HEDGE_SECONDS,
+    RETRY_AFTER_SECONDS,
+)
+from snipejunction.components.gateway.document import Route
+from snipejunction.components.gateway.merging import merge_records
+from snipejunction.components.gateway.replies import (
+    Answer,
+    Fate,
+    Outcome,
+    Reply,
+)
+from snipejunction.components.gateway.routing import pick_target
+from snipejunction.components.gateway.tables import GatewayTable
+from snipejunction.components.gateway.upstreams import Upstream
+from snipejunction.components.registration.const import GONE
+from snipejunction.timers import NEVER
+
+STATUS_OK: Final = 200
+STATUS_BAD_GATEWAY: Final = 502
+STATUS_UNAVAILABLE: Final = 503
+STATUS_GATEWAY_TIMEOUT: Final = 504
+_MILLISECONDS: Final = 1000
+
+
+class Attempt:
+    """One send of a part to a searcher; times are monotonic seconds."""
+
+    __slots__ = ('is_open', 'part', 'sent_at', 'upstream')
+
+    def __init__(self, part: Part, upstream: Upstream, now: float) -> None:
+        """Create an attempt that starts at ``now``."""
+        self.part = part
+        self.upstream = upstream
+        self.sent_at = now
+        self.is_open = True
+
+
+class Part:
+    """What one service has to contribute to an answer."""
+
+    __slots__ = (
+        'attempts',
+        'failure',
+        'has_hedged',
+        'ran',
+        'reply',
+        'service',
+    )
+
+    def __init__(self, service: str) -> None:
+        """Create a part that nobody was asked for."""
+        self.service = service
+        self.attempts: list[Attempt] = []
+        self.reply: Reply | None = None
+        self.failure: Outcome | None = None
+        self.has_hedged = False
+        # Searchers at which it ran or may have run.
+        self.ran = 0
+
+    @property
+    def open_attempts(self) -> list[Attempt]:
+        """Return the attempts without an outcome."""
+        return [attempt for attempt in self.attempts if attempt.is_open]
+
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether a reply may still come."""
+        if self.reply is not None:
+            return False
+        return any(attempt.is_open for attempt in self.attempts)
+
+    @property
+    def tried_ids(self) -> set[str]:
+        """Return the searchers that were asked."""
+        return {attempt.upstream.searcher_id for attempt in self.attempts}
+
+
+class SendAttempt(Command):
+    """Send a part to the searcher of an attempt."""
+
+    __slots__ = ('attempt', 'deadline')
+
+    def __init__(self, attempt: Attempt, deadline: float) -> None:
+        """Create a command; ``deadline`` is in monotonic seconds."""
+        self.attempt = attempt
+        self.deadline = deadline
+
+
+class RequestRun:
+    """Decides about one request until its answer is there.
+
+    ``deadline`` is when the caller or the route gives up, in monotonic
+    seconds. After each event ``answer`` says whether it is done.
+    """
+
+    __slots__ = (
+        '_answer_by',
+        '_route',
+        '_started',
+        '_table',
+        'answer',
+        'deadline',
+        'parts',
+        'request_id',
+    )
+
+    def __init__(
+        self,
+        request_id: str,
+        route: Route,
+        table: GatewayTable,
+        deadline: float,
+        now: float,
+    ) -> None:
+        """Create a run of a request that came at ``now``."""
+        self.request_id = request_id
+        self._route = route
+        self._table = table
+        self._started = now
+        self.deadline = deadline - DEADLINE_MARGIN_SECONDS
+        self._answer_by = min(
+            now + route.objective - ANSWER_MARGIN_SECONDS,
+            self.deadline,
+        )
+        services = route.shards
+        if not services:
+            services = (pick_target(route, table.random.random()),)
+        self.parts = [Part(service) for service in services]
+        self.answer: Answer | None = None
+
+    @property
+    def covered(self) -> int:
+        """Return the number of parts that are there."""
+        return sum(part.reply is not None for part in self.parts)
+
+    @property
+    def open_attempts(self) -> list[Attempt]:
+        """Return all attempts without an outcome."""
+        return [one for part in self.parts for one in part.open_attempts]
+
+    def start(self, now: float) -> Iterator[Command]:
+        """Ask one searcher for each part, or refuse the request."""
+        chosen: list[tuple[Part, Upstream]] = []
+        for part in self.parts:
+            upstream = self._choose(part, now)
+            if upstream is not None:
+                chosen.append((part, upstream))
+        if not self._suffices(len(chosen)):
+            self.answer = Answer(
+                STATUS_UNAVAILABLE,
+                cause='too few searchers can be asked',
+                retry_after=RETRY_AFTER_SECONDS,
+                parts=len(self.parts),
+            )
+            return
+        for part, upstream in chosen:
+            self._table.budget(part.service).note_request(now)
+            yield self._send(part, upstream, now)
+
+    def next_due(self) -> float:
+        """Return when ``advance`` is to be called next."""
+        due = self.deadline
+        if self._suffices(self.covered):
+            due = min(due, self._answer_by)
+        for part in self.parts:
+            due = min(due, self._hedge_due(part))
+        return due
+
+    def advance(self, now: float) -> Iterator[Command]:
+        """Hedge late parts, and answer when the time has come."""
+        if self.answer is not None:
+            return
+        for part in self.parts:
+            if now >= self._hedge_due(part):
+                part.has_hedged = True
+                late = part.open_attempts[0]
+                late.upstream.note_late(now)
+                yield from self._repeat(part, 'late part', now)
+        self._conclude(now)
+
+    def take(
+        self,
+        attempt: Attempt,
+        outcome: Outcome,
+        now: float,
+    ) -> Iterator[Command]:
+        """Take the outcome of an attempt; late ones only teach."""
+        if not attempt.is_open:
+            return
+        attempt.is_open = False
+        part = attempt.part
+        if not outcome.fate.has_not_run:
+            part.ran += 1
+        self._learn(attempt, outcome, now)
+        if self.answer is not None or part.reply is not None:
+            return
+        reply = outcome.reply
+        if reply is not None and self._is_good(reply):
+            part.reply = reply
+        else:
+            part.failure = outcome
+            if not part.open_attempts:
+                yield from self._retry(part, outcome, now)
+        self._conclude(now)
+
+    def _is_good(self, reply: Reply) -> bool:
+        return reply.is_success and bool(reply.signature)
+
+    def _choose(self, part: Part, now: float) -> Upstream | None:
+        return choose_upstream(
+            part.service,
+            self._route,
+            part.tried_ids,
+            self._table,
+            now,
+        )
+
+    def _send(self, part: Part, upstream: Upstream, now: float) -> Command:
+        attempt = Attempt(part, upstream, now)
+        part.attempts.append(attempt)
+        upstream.in_flight += 1
+        if now < upstream.cold_until:
+            upstream.last_cold_send = now
+        return SendAttempt(attempt, self.deadline)
+
+    def _hedge_due(self, part: Part) -> float:
+        if part.has_hedged or not self._route.is_idempotent:
+            return NEVER
+        if not part.is_waiting or self._route.attempts < 2:
+            return NEVER
+        usual = self._table.times_of(self._route.name).value
+        longest = self._route.objective * MAX_HEDGE_SHARE
+        wait = longest if usual is None else min(usual, longest)
+        return part.attempts[-1].sent_at + max(wait, MIN_HEDGE_SECONDS)
+
+    def _retry(
+        self,
+        part: Part,
+        outcome: Outcome,
+        now: float,
+    ) -> Iterator[Command]:
+        if not self._route.is_idempotent and not outcome.fate.has_not_run:
+            return
+        if part.ran >= self._route.attempts:
+            return
+        allowed = self._route.attempts + MAX_REFUSED_SENDS
+        if len(part.attempts) < allowed:
+            yield from self._repeat(part, f'{outcome.fate.value} part', now)
+
+    def _repeat(
+        self,
+        part: Part,
+        reason: str,
+        now: float,
+    ) -> Iterator[Command]:
+        if now >= self.deadline or self._open_or_ran(part) >= max(
+            self._route.attempts,
+            1,
+        ):
+            return
+        budget = self._table.budget(part.service)
+        left = budget.left(len(self._table.entries), now)
+        upstream = self._choose(part, now)
+        if left < 1 or upstream is None:
+            yield LogEvent(
+                EVENT_NO_REPEAT,
+                request=self.request_id,
+                service=part.service,
+                reason='no searcher' if upstream is None else 'no budget',
+            )
+            return
+        budget.note_repeat(now)
+        yield LogEvent(
+            EVENT_REPEATED,
+            request=self.request_id,
+            reason=reason,
+            service=part.service,
+            ms=round((now - self._started) * _MILLISECONDS, 1),
+            searcher=part.attempts[-1].upstream.searcher_id,
+            second=upstream.searcher_id,
+            budget=round(left - 1, 1),
+        )
+        yield self._send(part, upstream, now)
+
+    def _open_or_ran(self, part: Part) -> int:
+        return part.ran + len(part.open_attempts)
+
+    def _learn(self, attempt: Attempt, outcome: Outcome, now: float) -> None:
+        upstream = attempt.upstream
+        upstream.in_flight -= 1
+        if outcome.fate is Fate.MISDIRECTED:
+            upstream.record.state = GONE
+        elif outcome.fate is Fate.REFUSED:
+            upstream.note_refused(now)
+            upstream.note_failure(now)
+        elif outcome.reply is not None and self._is_good(outcome.reply):
+            elapsed = now - attempt.sent_at
+            times = self._table.times_of(self._route.name)
+            times.add(elapsed)
+            upstream.note_time(elapsed / (times.median or elapsed), now)
+        elif outcome.fate is not Fate.UNSENT:
+            upstream.note_failure(now)
+
+    def _suffices(self, covered: int) -> bool:
+        if not self._route.shards:
+            return covered > 0
+        share = covered / len(self.parts)
+        return covered > 0 and share >= self._route.min_share
+
+    def _conclude(self, now: float) -> None:
+        if self.answer is not None:
+            return
+        is_waiting = any(part.is_waiting for part in self.parts)
+        if is_waiting and now < self.deadline:
+            is_time = now >= self._answer_by
+            if not (is_time and self._suffices(self.covered)):
+                return
+        if self._suffices(self.covered):
+            self.answer = self._success()
+        else:
+            self.answer = self._failure(is_late=now >= self.deadline)
+
+    def _success(self) -> Answer:
+        replies = [part.reply for part in self.parts if part.reply]
+        if not self._route.shards:
+            reply = replies[0]
+            return Answer(
+                reply.status,
+                headers=reply.headers,
+                body=reply.body,
+                covered=1,
+                parts=1,
+            )
+        body = merge_records(
+            (reply.body for reply in replies),
+            self._route.top,
+        )
+        return Answer(
+            STATUS_OK,
+            body=body,
+            signatures=[reply.signature for reply in replies],
+            missing=len(self.parts) - len(replies),
+            covered=len(replies),
+            parts=len(self.parts),
+        )
+
+    def _failure(self, *, is_late: bool) -> Answer:
+        covered = self.covered
+        parts = len(self.parts)
+        failures = [part.failure for part in self.parts if part.failure]
+        cause = _cause_of(failures)
+        if not self._route.shards and failures:
+            reply = failures[-1].reply
+            if reply is not None and reply.signature and not is_late:
+                return Answer(
+                    reply.status,
+                    headers=reply.headers,
+                    body=reply.body,
+                    cause='the searcher answered with a failure',
+                    parts=parts,
+                )
+        has_run = any(part.ran or part.is_waiting for part in self.parts)
+        if has_run:
+            status = STATUS_GATEWAY_TIMEOUT if is_late else STATUS_BAD_GATEWAY
+            return Answer(status, cause=cause, covered=covered, parts=parts)
+        return Answer(
+            STATUS_UNAVAILABLE,
+            cause=cause,
+            retry_after=RETRY_AFTER_SECONDS,
+            covered=covered,
+            parts=parts,
+        )
+
+
+def _cause_of(failures: list[Outcome]) -> str:
+    if not failures:
+        return 'no answer in time'
+    details = {f'{one.fate.value} {one.detail}'.strip() for one in failures}
+    return ', '.join(sorted(details))
--- /dev/null
+++ b/snipejunction/components/gateway/tables.py
@@ -0,0 +1,104 @@
+"""Tables of an entry host."""
+
+from __future__ import annotations
+
+from random import Random
+
+from snipejunction.components.gateway.budget import RepeatBudget, RepeatLimits
+from snipejunction.components.gateway.const import HEDGE_QUANTILE
+from snipejunction.components.gateway.document import Document, Service
+from snipejunction.components.gateway.routing import RouteIndex
+from snipejunction.components.gateway.timing import QuantileWindow
+from snipejunction.components.gateway.upstreams import Upstream
+
+
+class GatewayTable:
+    """All that an entry host knows; its systems read and change it.
+
+    ``regions`` are the regions of data centres by name; ``out`` says for
+    each data centre that was ever drained whether it is out.
+    """
+
+    __slots__ = (
+        'budgets',
+        'controls_by_sender',
+        'data_centre',
+        'document',
+        'entries_by_sender',
+        'index',
+        'limits',
+        'name',
+        'out',
+        'random',
+        'region',
+        'regions',
+        'routes',
+        'times',
+        'upstreams',
+        'upstreams_by_service',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        data_centre: str,
+        regions: dict[str, str],
+        limits: RepeatLimits,
+        random: Random,
+    ) -> None:
+        """Create the tables of a host that knows nothing yet."""
+        self.name = name
+        self.data_centre = data_centre
+        self.regions = regions
+        self.region = regions.get(data_centre, data_centre)
+        self.limits = limits
+        self.random = random
+        self.document: Document | None = None
+        self.routes = RouteIndex()
+        self.index = 0
+        self.out: dict[str, bool] = {}
+        self.controls_by_sender: dict[str, list[str]] = {}
+        self.entries_by_sender: dict[str, list[str]] = {}
+        self.upstreams: dict[str, Upstream] = {}
+        self.upstreams_by_service: dict[str, dict[str, Upstream]] = {}
+        self.budgets: dict[str, RepeatBudget] = {}
+        self.times: dict[str, QuantileWindow] = {}
+
+    @property
+    def controls(self) -> set[str]:
+        """Return the control hosts that any control host knows."""
+        return set().union(*self.controls_by_sender.values())
+
+    @property
+    def entries(self) -> set[str]:
+        """Return the entry hosts that any control host knows."""
+        return {self.name}.union(*self.entries_by_sender.values())
+
+    def budget(self, service: str) -> RepeatBudget:
+        """Return the budget of a service."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = RepeatBudget(self.limits)
+            self.budgets[service] = budget
+        return budget
+
+    def times_of(self, route: str) -> QuantileWindow:
+        """Return the times of the parts of a route."""
+        times = self.times.get(route)
+        if times is None:
+            times = QuantileWindow(HEDGE_QUANTILE)
+            self.times[route] = times
+        return times
+
+    def service(self, name: str) -> Service | None:
+        """Return a service of the document in force."""
+        if self.document is None:
+            return None
+        return self.document.services.get(name)
+
+    def connection_limit(self, service: str) -> int:
+        """Return how many connections this host may have to one searcher."""
+        known = self.service(service)
+        if known is None:
+            return 1
+        return max(1, known.max_connections // max(1, len(self.entries)))
--- /dev/null
+++ b/snipejunction/components/gateway/upstreams.py
@@ -0,0 +1,95 @@
+"""Searchers as one entry host sees them."""
+
+from __future__ import annotations
+
+from snipejunction.components.gateway.const import (
+    FAILURE_WEIGHT,
+    FORGET_SECONDS,
+    LATENCY_WEIGHT,
+    REFUSED_SECONDS,
+)
+from snipejunction.components.registration.messages import SearcherRecord
+
+_HALF = 0.5
+
+
+class Upstream:
+    """What is known and learned of one searcher; times are monotonic.
+
+    ``slowness`` is the moving average of its time over the usual time of
+    the same route, ``failure`` that of its failures; both return to normal
+    while nothing is sent. ``stalled_at`` is when an attempt grew late
+    without any answer since.
+    """
+
+    __slots__ = (
+        '_failure',
+        '_sampled_at',
+        '_slowness',
+        'cold_until',
+        'in_flight',
+        'last_cold_send',
+        'record',
+        'refused_until',
+        'stalled_at',
+    )
+
+    def __init__(self, record: SearcherRecord, now: float) -> None:
+        """Create the state of a searcher that was just learned of."""
+        self.record = record
+        self.in_flight = 0
+        self.cold_until = now + record.cold_left
+        self.last_cold_send = 0.0
+        self.stalled_at: float | None = None
+        self.refused_until = 0.0
+        self._slowness = 1.0
+        self._failure = 0.0
+        self._sampled_at = now
+
+    @property
+    def searcher_id(self) -> str:
+        """Return the id of the searcher."""
+        return self.record.searcher_id
+
+    def slowness(self, now: float) -> float:
+        """Return its time over the usual one, 1 where nothing is known."""
+        return 1.0 + (self._slowness - 1.0) * self._memory(now)
+
+    def failure(self, now: float) -> float:
+        """Return the share of its attempts that failed lately."""
+        return self._failure * self._memory(now)
+
+    def note_time(self, ratio: float, now: float) -> None:
+        """Take the time of an answer over the usual one."""
+        self._settle(now)
+        self._slowness += (ratio - self._slowness) * LATENCY_WEIGHT
+        self._failure -= self._failure * FAILURE_WEIGHT
+        self.stalled_at = None
+
+    def note_failure(self, now: float) -> None:
+        """Take an attempt that failed."""
+        self._settle(now)
+        self._failure += (1 - self._failure) * FAILURE_WEIGHT
+
+    def note_refused(self, now: float) -> None:
+        """Take a connection that was refused."""
+        self.refused_until = now + REFUSED_SECONDS
+
+    def note_late(self, now: float) -> None:
+        """Take an attempt that is late."""
+        if self.stalled_at is None:
+            self.stalled_at = now
+
+    def is_stalled(self, now: float) -> bool:
+        """Return whether it answers nothing at present."""
+        if self.stalled_at is None:
+            return False
+        return now < self.stalled_at + FORGET_SECONDS
+
+    def _memory(self, now: float) -> float:
+        return float(_HALF ** ((now - self._sampled_at) / FORGET_SECONDS))
+
+    def _settle(self, now: float) -> None:
+        self._slowness = self.slowness(now)
+        self._failure = self.failure(now)
+        self._sampled_at = now
--- /dev/null
+++ b/snipejunction/components/registration/__init__.py
@@ -0,0 +1,1 @@
+"""Searchers as they announce themselves to control hosts."""
--- /dev/null
+++ b/snipejunction/components/registration/const.py
@@ -0,0 +1,44 @@
+"""Constants of the registration component."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from snipejunction.commands import EventKind
+
+# States of a searcher, as whole numbers on the wire.
+READY: Final = 0
+LEAVING: Final = 1
+SILENT: Final = 2
+GONE: Final = 3
+
+# Announcements that may be missing before a searcher counts as silent.
+MISSED_ANNOUNCEMENTS: Final = 3
+# How late an announcement may come, in seconds.
+LATENESS_SECONDS: Final = 1.0
+# How long a searcher that is gone is remembered, in seconds: late
+# announcements of it must not bring it back.
+GONE_SECONDS: Final = 120.0
+# Searchers that one control host keeps.
+MAX_SEARCHERS: Final = 70_000
+
+EVENT_SEARCHER_NEW: Final = EventKind(
+    920,
+    'info',
+    'searcher {searcher} of {service} at {address}, cold for {cold_left} s',
+)
+EVENT_SEARCHER_STATE: Final = EventKind(
+    921,
+    'info',
+    'searcher {searcher} of {service} is {state}, sequence {sequence}',
+)
+EVENT_SEARCHER_SILENT: Final = EventKind(
+    922,
+    'warning',
+    'searcher {searcher} of {service} is silent for {age} s',
+)
+EVENT_ANNOUNCEMENT_STALE: Final = EventKind(
+    923,
+    'info',
+    'announcement {sequence} of {searcher} is older than {known}: ignored',
+)
--- a/snipejunction/const.py
+++ b/snipejunction/const.py
@@ -48,6 +48,7 @@
 
 GROUP_SETTINGS: Final = 'settings'
 GROUP_JOURNAL: Final = 'journal'
+GROUP_DEPLOYMENT: Final = 'deployment'
 
 # Time between two ticks of the systems that run by time, in seconds.
 TICK_SECONDS: Final = 0.05
--- /dev/null
+++ b/snipejunction/edge/control_host.py
@@ -0,0 +1,284 @@
+"""A control host: the replicated deployment, announcements, addresses."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+from functools import partial, singledispatchmethod
+from typing import Final
+
+from snipejunction.commands import Command, LogEvent, SendPeer
+from snipejunction.components.consensus import systems as consensus_systems
+from snipejunction.components.consensus.messages import PersistLog
+from snipejunction.components.deployment import systems as deployment_systems
+from snipejunction.components.deployment.messages import (
+    DocumentEntry,
+    DrainEntry,
+    OrderAbandoned,
+    OrderAnswered,
+    OrderAsked,
+    ReadAnswered,
+    ReadAsked,
+)
+from snipejunction.components.deployment.systems.recruiting import is_cut_off
+from snipejunction.components.registration import (
+    systems as registration_systems,
+)
+from snipejunction.components.registration.messages import (
+    SearcherAnnounced,
+    SearcherLeft,
+    SearcherRecord,
+)
+from snipejunction.const import GROUP_DEPLOYMENT
+from snipejunction.core import Core
+from snipejunction.edge import const
+from snipejunction.edge.calls import CallTable
+from snipejunction.edge.core_runner import CoreRunner
+from snipejunction.edge.event_log import EventLog
+from snipejunction.edge.gateway.host_profile import HostProfile
+from snipejunction.edge.gateway.service_metrics import ServiceMetrics
+from snipejunction.edge.keys import PeerKeys
+from snipejunction.edge.peers import Address, PeerTable
+from snipejunction.edge.storage import Storage
+from snipejunction.errors import RefusedError, StorageError
+from snipejunction.host_settings import (
+    HostIdentity,
+    HostSettings,
+    VoterAddress,
+)
+from snipejunction.messages import Message, StopAsked
+
+# Time that an operator's call waits for the log, in seconds: callers turn to
+# another host after one second.
+_CALL_SECONDS: Final = 0.85
+# Time that a stopping leader has to hand over, in seconds.
+_HAND_OVER_SECONDS: Final = 1.5
+_STOP_POLL_SECONDS: Final = 0.05
+# An entry host that said nothing for this long is not named to callers, in
+# seconds.
+_STALE_ENTRY_SECONDS: Final = 3.0
+MAX_ADDRESSES: Final = 64
+SYSTEMS: Final = (
+    consensus_systems,
+    deployment_systems,
+    registration_systems,
+)
+
+
+class ControlHost:
+    """Runs the core of a control host under asyncio."""
+
+    def __init__(
+        self,
+        profile: HostProfile,
+        keys: PeerKeys,
+        event_log: EventLog,
+        seed: int,
+        ended: asyncio.Event,
+    ) -> None:
+        """Create a host that does not listen yet; it may set ``ended``."""
+        loop = asyncio.get_running_loop()
+        self._loop = loop
+        self._profile = profile
+        self._event_log = event_log
+        core = Core(_settings_of(profile), seed)
+        self._node = core.node
+        self._node.deployment.seeds = profile.seeds
+        self._node.registration.interval = profile.announce_seconds
+        self._runner = CoreRunner(core, self, loop)
+        self._calls = CallTable(self.submit)
+        self._storage: Storage | None = None
+        self._stack = AsyncExitStack()
+        self._failure: StorageError | None = None
+        self._ended = ended
+        self.metrics = ServiceMetrics()
+        self.peers: Final = PeerTable(
+            profile.name,
+            profile.incarnation,
+            keys,
+            self,
+            loop,
+        )
+
+    @property
+    def failure(self) -> StorageError | None:
+        """Return why the host has to end, None while it is sound."""
+        return self._failure
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Return whether no leader was heard for a while."""
+        return is_cut_off(self._node, self._loop.time())
+
+    async def __aenter__(self) -> ControlHost:
+        """Load the disk and open the listener for peers."""
+        async with AsyncExitStack() as stack:
+            folder = self._profile.data_folder
+            if folder is not None:
+                groups = (GROUP_DEPLOYMENT,)
+                storage = Storage(folder, self, self._loop, groups)
+                stack.push_async_callback(storage.async_close)
+                storage.load(self._node)
+                self._storage = storage
+            server = await self._loop.create_server(
+                self.peers.accept,
+                self._profile.ip,
+                self._profile.peer_port,
+            )
+            self.peers.start(None)
+            stack.push_async_callback(self.peers.async_close)
+            stack.callback(server.close)
+            stack.callback(self._runner.stop)
+            self._runner.start()
+            self._stack = stack.pop_all()
+        return self
+
+    async def __aexit__(self, *details: object) -> None:
+        """Close everything."""
+        await self._stack.aclose()
+
+    async def async_stop(self) -> None:
+        """Hand leadership over, if others can take it."""
+        self.submit(StopAsked())
+        end = self._loop.time() + _HAND_OVER_SECONDS
+        while self._is_leading() and self._loop.time() < end:
+            await asyncio.sleep(_STOP_POLL_SECONDS)
+
+    async def async_order(self, entry: DocumentEntry | DrainEntry) -> bool:
+        """Return whether an order is known to be committed."""
+        answer = await self._async_ask(partial(_order, entry))
+        return isinstance(answer, OrderAnswered) and answer.is_accepted
+
+    async def async_read(self) -> bytes | None:
+        """Return the newest document, None if it is not certain.
+
+        Empty bytes mean that there is none yet.
+        """
+        answer = await self._async_ask(ReadAsked)
+        return answer.content if isinstance(answer, ReadAnswered) else None
+
+    def announce(self, searcher: SearcherRecord) -> None:
+        """Take what a searcher says of itself."""
+        self.submit(SearcherAnnounced(searcher))
+
+    def take_leave(self, searcher_id: str) -> None:
+        """Take that a searcher ends."""
+        self.submit(SearcherLeft(searcher_id))
+
+    def addresses(self, data_centre: str, region: str) -> list[str]:
+        """Return where a caller of a data centre connects, nearest only."""
+        oldest = self._loop.time() - _STALE_ENTRY_SECONDS
+        found = [
+            entry.presence
+            for entry in self._node.deployment.entries.values()
+            if not entry.presence.is_leaving and entry.heard_at >= oldest
+        ]
+        near = [one for one in found if one.data_centre == data_centre]
+        if not near:
+            near = [one for one in found if one.region == region]
+        chosen = near or found
+        return sorted(one.address for one in chosen)[:MAX_ADDRESSES]
+
+    def update_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Use other control hosts to start from."""
+        self._node.deployment.seeds = seeds
+
+    def locate(self, host: str) -> Address | None:
+        """Return where a host listens for its peers: its name says so."""
+        ip, _, port = host.rpartition(':')
+        return (ip, int(port)) if port.isdecimal() else None
+
+    def log(self, event: LogEvent) -> None:
+        """Write an event."""
+        self._event_log.write(event)
+
+    def submit(self, message: Message) -> None:
+        """Handle a message and carry out what follows from it."""
+        self._runner.submit(message)
+
+    def report_failure(self, source: object, error: Exception) -> None:
+        """Log a message or a command that failed; the host goes on."""
+        if isinstance(error, StorageError):
+            self.storage_failed(error)
+            return
+        self.log(
+            LogEvent(
+                const.EVENT_HANDLER_FAILED,
+                kind=type(source).__name__,
+                reason=repr(error),
+            ),
+        )
+
+    def storage_failed(self, error: StorageError) -> None:
+        """End at once: what the host promised may not be durable."""
+        self.log(LogEvent(const.EVENT_STORAGE_FAILED, reason=str(error)))
+        self._failure = error
+        self._runner.stop()
+        self._ended.set()
+
+    @singledispatchmethod
+    def execute(self, command: Command) -> None:
+        """Carry out a command; metrics of the core are not kept here."""
+
+    @execute.register
+    def _send_peer(self, command: SendPeer) -> None:
+        self.peers.send(command.host, command.message)
+
+    @execute.register
+    def _write_event(self, command: LogEvent) -> None:
+        self.log(command)
+
+    @execute.register
+    def _persist(self, command: PersistLog) -> None:
+        if self._storage is None:
+            raise StorageError('a host without a data folder keeps no log')
+        self._storage.persist(command)
+
+    @execute.register(OrderAnswered)
+    @execute.register(ReadAnswered)
+    def _answer(self, command: OrderAnswered | ReadAnswered) -> None:
+        self._calls.answer(command.call_id, command)
+
+    async def _async_ask(self, make: object) -> Command | None:
+        assert callable(make)
+        try:
+            async with asyncio.timeout(_CALL_SECONDS):
+                answer = await self._calls.async_ask(make, OrderAbandoned)
+        except (TimeoutError, RefusedError):
+            # The caller is told that the outcome is not known.
+            return None
+        assert isinstance(answer, Command)
+        return answer
+
+    def _is_leading(self) -> bool:
+        replicas = self._node.consensus.replicas.values()
+        return any(
+            replica.is_leader and len(replica.membership.current.voter_ids) > 1
+            for replica in replicas
+        )
+
+
+def _order(entry: DocumentEntry | DrainEntry, call_id: int) -> OrderAsked:
+    return OrderAsked(call_id, entry)
+
+
+def _settings_of(profile: HostProfile) -> HostSettings:
+    """Return settings of the core; only a first start names voters."""
+    identity = HostIdentity(
+        profile.name,
+        profile.ip,
+        profile.peer_port,
+        0,
+        profile.data_centre,
+        profile.region,
+        profile.incarnation,
+    )
+    voters: tuple[VoterAddress, ...] = ()
+    if profile.is_first_start:
+        voters = tuple(_voter_of(name) for name in sorted(profile.seeds))
+    return HostSettings(identity, voters, data_folder=profile.data_folder)
+
+
+def _voter_of(name: str) -> VoterAddress:
+    ip, _, port = name.rpartition(':')
+    return VoterAddress(name, ip, int(port))
--- /dev/null
+++ b/snipejunction/edge/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP of an entry host: callers on one side, searchers on the other."""
--- /dev/null
+++ b/snipejunction/edge/gateway/forwarding.py
@@ -0,0 +1,235 @@
+"""Runs one caller's request against the searchers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from functools import partial
+from typing import Final, Protocol
+
+from snipejunction.commands import Command, LogEvent
+from snipejunction.components.gateway.const import (
+    ABANDON_SECONDS,
+    EVENT_REQUEST_DONE,
+    EVENT_REQUEST_FAILED,
+)
+from snipejunction.components.gateway.document import Route
+from snipejunction.components.gateway.replies import Answer, Outcome
+from snipejunction.components.gateway.run import (
+    Attempt,
+    RequestRun,
+    SendAttempt,
+)
+from snipejunction.components.gateway.tables import GatewayTable
+from snipejunction.edge.gateway.caller_connection import CallerRequest, Headers
+from snipejunction.edge.gateway.const import HOP_HEADERS
+from snipejunction.edge.gateway.dialect import Dialect
+from snipejunction.edge.gateway.searcher_pool import SearcherPool, Sending
+
+_MILLISECONDS: Final = 1000
+_SUCCESS: Final = range(200, 300)
+
+
+class ForwardingHooks(Protocol):
+    """What the requests need of the host that they belong to."""
+
+    dialect: Dialect
+    table: GatewayTable
+    pool: SearcherPool
+
+    def log(self, event: LogEvent) -> None:
+        """Write an event."""
+
+    def note_answer(self, route: str, status: int, seconds: float) -> None:
+        """Count an answer and the time that it took."""
+
+    def run_ended(self, run: ForwardedRequest) -> None:
+        """Forget a request whose answer is given."""
+
+
+class ForwardedRequest:
+    """Carries out the decisions of one ``RequestRun``."""
+
+    __slots__ = (
+        '_hooks',
+        '_is_gone',
+        '_loop',
+        '_prefix',
+        '_request',
+        '_route',
+        '_run',
+        '_sendings',
+        '_timer',
+    )
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        run: RequestRun,
+        route: Route,
+        hooks: ForwardingHooks,
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        """Create the work on a request that was just read."""
+        self._request = request
+        self._run = run
+        self._route = route
+        self._hooks = hooks
+        self._loop = loop
+        self._prefix = _prefix_of(request, hooks.dialect)
+        self._sendings: dict[Attempt, Sending] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._is_gone = False
+        request.on_gone = self._leave
+
+    def start(self) -> None:
+        """Send the parts."""
+        self._execute(self._run.start(self._loop.time()))
+        self._settle()
+
+    def give_up(self, detail: str) -> None:
+        """Abort what is open: the host has to end now."""
+        for sending in list(self._sendings.values()):
+            sending.cancel(detail)
+        self._settle()
+
+    def _advance(self) -> None:
+        self._timer = None
+        self._execute(self._run.advance(self._loop.time()))
+        self._settle()
+
+    def _take(self, attempt: Attempt, outcome: Outcome) -> None:
+        self._sendings.pop(attempt, None)
+        self._execute(self._run.take(attempt, outcome, self._loop.time()))
+        self._settle()
+
+    def _execute(self, commands: Iterable[Command]) -> None:
+        for command in commands:
+            if isinstance(command, SendAttempt):
+                self._send(command)
+            elif isinstance(command, LogEvent):
+                self._hooks.log(command)
+
+    def _send(self, command: SendAttempt) -> None:
+        attempt = command.attempt
+        left = command.deadline - self._loop.time()
+        content = b'%s%s: %d\r\n%s: %s\r\n\r\n%s' % (
+            self._prefix,
+            self._hooks.dialect.deadline,
+            max(1, int(left * _MILLISECONDS)),
+            self._hooks.dialect.expected_searcher,
+            attempt.upstream.searcher_id.encode(),
+            self._request.body,
+        )
+        request_id = self._run.request_id.encode()
+        sending = Sending(content, request_id, partial(self._take, attempt))
+        self._sendings[attempt] = sending
+        self._hooks.pool.send(attempt.upstream, sending)
+
+    def _settle(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        answer = self._run.answer
+        if answer is None:
+            if not self._is_gone:
+                due = self._run.next_due()
+                self._timer = self._loop.call_at(due, self._advance)
+        elif not self._request.is_answered:
+            self._answer(answer)
+
+    def _answer(self, answer: Answer) -> None:
+        elapsed = self._loop.time() - self._request.received_at
+        headers = answer.headers
+        if answer.signatures is not None:
+            dialect = self._hooks.dialect
+            signatures = ', '.join(answer.signatures).encode('latin-1')
+            headers = [
+                (dialect.request_id, self._run.request_id.encode()),
+                (dialect.signatures, signatures),
+                (dialect.missing, b'%d' % answer.missing),
+            ]
+        elif answer.retry_after:
+            headers = [(b'retry-after', b'%.2f' % answer.retry_after)]
+        self._request.respond(answer.status, headers, answer.body)
+        self._hooks.note_answer(self._route.name, answer.status, elapsed)
+        self._log(answer, elapsed)
+        self._hooks.run_ended(self)
+        self._abandon_later()
+
+    def _log(self, answer: Answer, elapsed: float) -> None:
+        is_success = answer.status in _SUCCESS
+        kind = EVENT_REQUEST_DONE if is_success else EVENT_REQUEST_FAILED
+        document = self._hooks.table.document
+        fields = {'cause': answer.cause} if answer.cause else {}
+        if answer.missing or not is_success:
+            fields['lacking'] = _lacking(self._run)
+        self._hooks.log(
+            LogEvent(
+                kind,
+                request=self._run.request_id,
+                route=self._route.name,
+                status=answer.status,
+                ms=round(elapsed * _MILLISECONDS, 1),
+                covered=answer.covered,
+                parts=answer.parts,
+                version=0 if document is None else document.version,
+                outcome='success' if is_success else 'failure',
+                **fields,
+            ),
+        )
+
+    def _leave(self) -> None:
+        """Stop: the caller is gone and nobody reads the answer."""
+        self._is_gone = True
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        elapsed = self._loop.time() - self._request.received_at
+        self._hooks.note_answer(self._route.name, 0, elapsed)
+        self._hooks.run_ended(self)
+        self._abandon_later()
+
+    def _abandon_later(self) -> None:
+        # Most work ends soon, and then its connection can be used again.
+        if self._sendings:
+            self._loop.call_later(ABANDON_SECONDS, self._abandon)
+
+    def _abandon(self) -> None:
+        for sending in list(self._sendings.values()):
+            sending.cancel('nobody waits for it')
+
+
+def _lacking(run: RequestRun) -> list[str]:
+    """Describe the parts without a reply, for the log."""
+    return [
+        '{0}: {1}'.format(
+            part.service,
+            ', '.join(
+                f'{one.upstream.searcher_id} {"open" if one.is_open else "ended"}'
+                for one in part.attempts
+            )
+            or 'nobody to ask',
+        )
+        for part in run.parts
+        if part.reply is None
+    ]
+
+
+def _prefix_of(request: CallerRequest, dialect: Dialect) -> bytes:
+    """Return the head for searchers, but for what each attempt sets."""
+    own = {dialect.deadline, dialect.expected_searcher}
+    lines = [b'%s %s HTTP/1.1' % (request.method, request.target)]
+    lines.extend(
+        b'%s: %s' % header
+        for header in request.headers
+        if header[0] not in HOP_HEADERS and header[0] not in own
+    )
+    if request.body or request.method not in {b'GET', b'HEAD', b'DELETE'}:
+        lines.append(b'content-length: %d' % len(request.body))
+    return b'\r\n'.join([*lines, b''])
+
+
+def plain_headers(content_type: bytes) -> Headers:
+    """Return the headers of an answer of this host itself."""
+    return [(b'content-type', content_type)]
--- /dev/null
+++ b/snipejunction/edge/gateway/gateway_host.py
@@ -0,0 +1,316 @@
+"""An entry host: takes callers' requests and serves them by searchers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from contextlib import AsyncExitStack
+from functools import singledispatchmethod
+from random import Random
+from typing import Final
+
+from snipejunction.commands import Command, LogEvent
+from snipejunction.components.deployment.const import PRESENCE_SECONDS
+from snipejunction.components.deployment.messages import (
+    DeploymentFed,
+    EntryPresence,
+    HostsFed,
+)
+from snipejunction.components.gateway.const import RETRY_AFTER_SECONDS
+from snipejunction.components.gateway.learning import (
+    ReadDocument,
+    forget_gone,
+    lose_control,
+    take_deployment,
+    take_hosts,
+    take_searchers,
+)
+from snipejunction.components.gateway.run import RequestRun
+from snipejunction.components.gateway.tables import GatewayTable
+from snipejunction.components.registration.const import GONE
+from snipejunction.components.registration.messages import SearcherNews
+from snipejunction.edge import const
+from snipejunction.edge.event_log import EventLog
+from snipejunction.edge.gateway.caller_connection import (
+    CallerRequest,
+    ConnectionLimits,
+)
+from snipejunction.edge.gateway.dialect import Dialect
+from snipejunction.edge.gateway.forwarding import ForwardedRequest
+from snipejunction.edge.gateway.host_profile import HostProfile
+from snipejunction.edge.gateway.http_server import HttpServer
+from snipejunction.edge.gateway.searcher_pool import SearcherPool
+from snipejunction.edge.gateway.service_metrics import ServiceMetrics
+from snipejunction.edge.keys import PeerKeys
+from snipejunction.edge.peers import Address, PeerTable
+from snipejunction.errors import StorageError
+from snipejunction.messages import Message, PeerConnected, PeerLost
+
+# Time that a stopping host goes on taking requests, in seconds: callers that
+# just asked for addresses may still come.
+_ACCEPT_SECONDS: Final = 1.0
+# Share of the time until the process is killed that open requests may use.
+_GRACE_SHARE: Final = 0.8
+_STOP_POLL_SECONDS: Final = 0.05
+_MILLISECONDS: Final = 1000
+_NOT_FOUND: Final = 404
+_BAD_REQUEST: Final = 400
+_UNAVAILABLE: Final = 503
+_FORGET_SECONDS: Final = 10.0
+
+
+class GatewayHost:
+    """Owns the sockets of an entry host.
+
+    ``read_document`` turns the content of a deployment document into typed
+    data and raises ``SettingsError`` if it cannot.
+    """
+
+    def __init__(
+        self,
+        profile: HostProfile,
+        keys: PeerKeys,
+        dialect: Dialect,
+        read_document: ReadDocument,
+        event_log: EventLog,
+        seed: int,
+    ) -> None:
+        """Create a host that does not listen yet."""
+        loop = asyncio.get_running_loop()
+        self._loop = loop
+        self._profile = profile
+        self._read_document = read_document
+        self._event_log = event_log
+        self._stack = AsyncExitStack()
+        self._runs: set[ForwardedRequest] = set()
+        self._is_leaving = False
+        self._presence_timer: asyncio.TimerHandle | None = None
+        self._forget_timer: asyncio.TimerHandle | None = None
+        self.dialect = dialect
+        self.table = GatewayTable(
+            profile.name,
+            profile.data_centre,
+            profile.regions,
+            profile.repeat_limits,
+            Random(seed),
+        )
+        self.pool = SearcherPool(dialect, loop)
+        self.metrics = ServiceMetrics()
+        self.callers: Final = HttpServer(self._serve, loop)
+        self.peers: Final = PeerTable(
+            profile.name,
+            profile.incarnation,
+            keys,
+            self,
+            loop,
+        )
+
+    @property
+    def failure(self) -> StorageError | None:
+        """Return None: a host without a disk never fails by it."""
+        return None
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the host takes new work."""
+        return self.table.document is not None and not self._is_leaving
+
+    async def __aenter__(self) -> GatewayHost:
+        """Open the listeners and begin to look for control hosts."""
+        async with AsyncExitStack() as stack:
+            stack.push_async_callback(self.pool.async_close)
+            stack.push_async_callback(self.peers.async_close)
+            server = await self._loop.create_server(
+                self.peers.accept,
+                self._profile.ip,
+                self._profile.peer_port,
+            )
+            stack.callback(server.close)
+            stack.callback(self._cancel_timers)
+            stack.callback(self.callers.close)
+            await self.callers.async_listen(*self._profile.caller_address)
+            self.peers.start(None)
+            self._stack = stack.pop_all()
+        self._keep_announcing()
+        self._keep_forgetting()
+        return self
+
+    async def __aexit__(self, *details: object) -> None:
+        """Close everything."""
+        await self._stack.aclose()
+
+    async def async_stop(self) -> None:
+        """Stop as planned: finish open requests, but not for ever."""
+        self._is_leaving = True
+        self._send_presence()
+        self.callers.is_stopping = True
+        started = self._loop.time()
+        await asyncio.sleep(_ACCEPT_SECONDS)
+        self.callers.stop_listening()
+        end = started + self._profile.grace_seconds * _GRACE_SHARE
+        while self.callers.is_busy and self._loop.time() < end:
+            await asyncio.sleep(_STOP_POLL_SECONDS)
+        for run in list(self._runs):
+            run.give_up('this host stops')
+        await asyncio.sleep(_STOP_POLL_SECONDS)
+
+    def update_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Use other control hosts to start from."""
+        self._profile.seeds = seeds
+        self._send_presence()
+
+    def log(self, event: LogEvent) -> None:
+        """Write an event."""
+        self._event_log.write(event)
+
+    def note_answer(self, route: str, status: int, seconds: float) -> None:
+        """Count an answer and the time that it took."""
+        self.metrics.note_answer(route, status, seconds)
+
+    def run_ended(self, run: ForwardedRequest) -> None:
+        """Forget a request whose answer is given."""
+        self._runs.discard(run)
+
+    def locate(self, host: str) -> Address | None:
+        """Return where a host listens for its peers: its name says so."""
+        ip, _, port = host.rpartition(':')
+        return (ip, int(port)) if port.isdecimal() else None
+
+    def submit(self, message: Message) -> None:
+        """Take a message of a control host."""
+        try:
+            self._take(message)
+        except Exception as error:
+            # One message that fails must not end the host.
+            self.log(
+                LogEvent(
+                    const.EVENT_HANDLER_FAILED,
+                    kind=type(message).__name__,
+                    reason=repr(error),
+                ),
+            )
+
+    @singledispatchmethod
+    def _take(self, message: Message) -> None:
+        raise TypeError(f'no use for {type(message).__name__}')
+
+    @_take.register
+    def _take_connected(self, message: PeerConnected) -> None:
+        self.peers.send(message.host, self._presence())
+
+    @_take.register
+    def _take_lost(self, message: PeerLost) -> None:
+        lose_control(message.host, self.table)
+
+    @_take.register
+    def _take_deployment(self, message: DeploymentFed) -> None:
+        now = self._loop.time()
+        index = self.table.index
+        self._execute(
+            take_deployment(message, self.table, self._read_document, now),
+        )
+        if self.table.index == index:
+            return
+        self._send_presence()
+        document = self.table.document
+        if document is not None:
+            limits = document.limits
+            self.callers.limits = ConnectionLimits(
+                limits.max_header_bytes,
+                limits.max_body_bytes,
+                limits.header_seconds,
+                limits.idle_seconds,
+            )
+
+    @_take.register
+    def _take_hosts(self, message: HostsFed) -> None:
+        take_hosts(message, self.table)
+
+    @_take.register
+    def _take_searchers(self, message: SearcherNews) -> None:
+        self._execute(take_searchers(message, self.table, self._loop.time()))
+        for record in message.searchers:
+            if record.state == GONE:
+                self.pool.drop(record.searcher_id)
+
+    def _execute(self, commands: Iterable[Command]) -> None:
+        for command in commands:
+            if isinstance(command, LogEvent):
+                self.log(command)
+
+    def _serve(self, request: CallerRequest) -> None:
+        document = self.table.document
+        if document is None:
+            self._refuse(request, _UNAVAILABLE)
+            return
+        request_id = request.header(self.dialect.request_id)
+        host = request.header(b'host').decode('latin-1')
+        path = request.target.partition(b'?')[0].decode('latin-1')
+        route = self.table.routes.find(host, path)
+        if route is None:
+            self._refuse(request, _NOT_FOUND)
+            return
+        if not request_id:
+            self._refuse(request, _BAD_REQUEST)
+            return
+        now = self._loop.time()
+        run = RequestRun(
+            request_id.decode('latin-1'),
+            route,
+            self.table,
+            now + self._time_left(request, route.timeout),
+            now,
+        )
+        forwarded = ForwardedRequest(request, run, route, self, self._loop)
+        self._runs.add(forwarded)
+        forwarded.start()
+
+    def _time_left(self, request: CallerRequest, timeout: float) -> float:
+        stated = request.header(self.dialect.deadline)
+        if stated.isdigit():
+            return min(int(stated) / _MILLISECONDS, timeout)
+        return timeout
+
+    def _refuse(self, request: CallerRequest, status: int) -> None:
+        headers = []
+        if status == _UNAVAILABLE:
+            headers = [(b'retry-after', b'%.2f' % RETRY_AFTER_SECONDS)]
+        self.metrics.note_refusal(status)
+        request.respond(status, headers, b'')
+
+    def _send_presence(self) -> None:
+        names = self.table.controls
+        if not names.intersection(self.peers.connected):
+            names |= set(self._profile.seeds)
+        presence = self._presence()
+        for name in sorted(names):
+            self.peers.send(name, presence)
+
+    def _presence(self) -> EntryPresence:
+        ip, port = self._profile.caller_address
+        return EntryPresence(
+            self._profile.data_centre,
+            self._profile.region,
+            f'{ip}:{port}',
+            self._is_leaving,
+            self.table.index,
+        )
+
+    def _keep_announcing(self) -> None:
+        self._send_presence()
+        self._presence_timer = self._loop.call_later(
+            PRESENCE_SECONDS,
+            self._keep_announcing,
+        )
+
+    def _keep_forgetting(self) -> None:
+        forget_gone(self.table)
+        self._forget_timer = self._loop.call_later(
+            _FORGET_SECONDS,
+            self._keep_forgetting,
+        )
+
+    def _cancel_timers(self) -> None:
+        for timer in (self._presence_timer, self._forget_timer):
+            if timer is not None:
+                timer.cancel()
--- a/snipejunction/edge/storage.py
+++ b/snipejunction/edge/storage.py
@@ -44,6 +44,7 @@
         folder: str,
         hooks: StorageHooks,
         loop: asyncio.AbstractEventLoop,
+        groups: tuple[str, ...] = _GROUPS,
     ) -> None:
         """Open the folder and make sure that no other process uses it.
 
@@ -52,6 +53,7 @@
         """
         self._hooks = hooks
         self._loop = loop
+        self._groups = groups
         self._writes: set[asyncio.Task[None]] = set()
         self._files = RealFiles(folder)
         self._lock = _lock(Path(folder + _LOCK_SUFFIX))
@@ -65,7 +67,7 @@
             StorageError: if a file is damaged.
         """
         new_id = secrets.token_hex(VOTER_ID_BITS // _BITS_PER_BYTE)
-        stored = self._folder.open(new_id, _GROUPS)
+        stored = self._folder.open(new_id, self._groups)
         node.consensus.load(self._folder.voter_id, stored)
 
     def persist(self, command: PersistLog) -> None:
--- a/snipejunction/node.py
+++ b/snipejunction/node.py
@@ -12,10 +12,12 @@
 from snipejunction.components.control.settings_table import SettingsTable
 from snipejunction.components.control.tables import ControlTable
 from snipejunction.components.control.view import ViewTable
+from snipejunction.components.deployment.tables import DeploymentTable
 from snipejunction.components.directory.routes import RoutingTable
 from snipejunction.components.directory.tables import DirectoryTable
 from snipejunction.components.journal.tables import JournalTable
 from snipejunction.components.owner.tables import OwnerTable
+from snipejunction.components.registration.tables import RegistrationTable
 from snipejunction.components.root.tables import RootTable
 from snipejunction.host_settings import HostIdentity, HostSettings
 from snipejunction.timers import TimerTable
@@ -30,6 +32,7 @@
         'admission',
         'consensus',
         'control',
+        'deployment',
         'directory',
         'host_settings',
         'identity',
@@ -38,6 +41,7 @@
         'lifecycle',
         'owner',
         'random',
+        'registration',
         'root',
         'routing',
         'settings',
@@ -65,6 +69,8 @@
         self.root: Final = RootTable(random.getrandbits(SUB_ID_BITS))
         self.admission: Final = AdmissionTable()
         self.journal: Final = JournalTable()
+        self.deployment: Final = DeploymentTable()
+        self.registration: Final = RegistrationTable()
 
     @property
     def name(self) -> str:
--- /dev/null
+++ b/snipejunction/platform/control.py
@@ -0,0 +1,42 @@
+"""The process that keeps the deployment and answers for addresses."""
+
+from __future__ import annotations
+
+import secrets
+from contextlib import AsyncExitStack
+from typing import Final
+
+from snipejunction.edge.control_host import ControlHost
+from snipejunction.edge.keys import PeerKeys
+from snipejunction.platform.calls import ControlCalls
+from snipejunction.platform.process import PEER_KEY, Process, run
+from snipejunction.platform.settings import ROLE_CONTROL
+
+_SEED_BITS: Final = 64
+
+
+async def async_run_control(process: Process) -> int:
+    """Serve operators, searchers and callers until a planned stop."""
+    profile = process.profile
+    async with AsyncExitStack() as stack:
+        host = ControlHost(
+            profile,
+            PeerKeys([PEER_KEY]),
+            process.log,
+            secrets.randbits(_SEED_BITS),
+            process.ended,
+        )
+        await stack.enter_async_context(host)
+        calls = ControlCalls(host, profile)
+        await process.async_listen(profile.control_address, calls.take, stack)
+        await process.async_listen(
+            profile.directory_address,
+            calls.take,
+            stack,
+        )
+        return await process.async_serve(host, stack)
+    return 0
+
+
+if __name__ == '__main__':
+    run(ROLE_CONTROL, async_run_control)
--- /dev/null
+++ b/snipejunction/platform/names.py
@@ -0,0 +1,28 @@
+"""Names of the platform's calls and headers."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from snipejunction.edge.gateway.dialect import Dialect
+
+SETTINGS_VARIABLE: Final = 'SNIPEJUNCTION_BOOT'
+
+DIALECT: Final = Dialect(
+    request_id=b'x-snipejunction-request-id',
+    deadline=b'x-snipejunction-request-deadline',
+    signature=b'x-snipejunction-server-stamp',
+    expected_searcher=b'x-snipejunction-expect-instance',
+    not_run=b'x-snipejunction-not-executed',
+    signatures=b'x-snipejunction-part-stamps',
+    missing=b'x-snipejunction-missing-parts',
+)
+
+PATH_READY: Final = '/ready'
+PATH_RESOLVE: Final = '/resolve'
+PATH_ANNOUNCE: Final = '/Instances.Heartbeat/'
+PATH_LEAVE: Final = '/Instances.Deregister/'
+PATH_PUT_DOCUMENT: Final = '/Config.Put'
+PATH_GET_DOCUMENT: Final = '/Config.Get'
+PATH_DRAIN: Final = '/Evacuations.Start/'
+PATH_RESTORE: Final = '/Evacuations.End/'
