--- a/snipejunction/components/consensus/systems/membership.py
+++ b/snipejunction/components/consensus/systems/membership.py
@@ -227,7 +227,9 @@
     elif voter_id == replica.voter_id:
         start_transfer(replica, now)
     else:
-        yield from propose_members(replica, without_member(current, voter_id), now)
+        yield from propose_members(
+            replica, without_member(current, voter_id), now
+        )
 
 
 def _settled(
--- a/snipejunction/components/consensus/tables.py
+++ b/snipejunction/components/consensus/tables.py
@@ -85,6 +85,11 @@
         self._changes[number] = change
         return number
 
+    def members_of(self, group: str) -> list[Member]:
+        """Return the members of a group, none without a replica of it."""
+        replica = self._replicas.get(group)
+        return [] if replica is None else replica.membership.current.members
+
     def find_member(self, name: str) -> Member | None:
         """Return a member of any group by the name of its host."""
         for replica in self._replicas.values():
--- a/snipejunction/components/deployment/const.py
+++ b/snipejunction/components/deployment/const.py
@@ -20,6 +20,11 @@
 # A presence from another data centre gets the document only if it lags this
 # often in a row, so that the control host nearby sends it first.
 LAGS_BEFORE_FEED: Final = 2
+# An entry host that said nothing for this long is not named to callers, in
+# seconds: three presences.
+STALE_ENTRY_SECONDS: Final = 3.0
+# Addresses in one answer to a caller; the platform reads no more.
+MAX_ADDRESSES: Final = 64
 
 EVENT_DOCUMENT_ACCEPTED: Final = EventKind(
     901,
--- a/snipejunction/components/deployment/messages.py
+++ b/snipejunction/components/deployment/messages.py
@@ -32,11 +32,23 @@
         self.is_out = is_out
 
 
+class CallPeerMessage(PeerMessage):
+    """A message about a call that waits at the host that sent it first."""
+
+    __slots__ = ('call_id',)
+
+
+class CallMessage(Message):
+    """A message about a call of this host."""
+
+    __slots__ = ('call_id',)
+
+
 @wire(142)
-class OrderForwarded(PeerMessage):
+class OrderForwarded(CallPeerMessage):
     """An operator's order on its way to the leader."""
 
-    __slots__ = ('call_id', 'payload')
+    __slots__ = ('payload',)
 
     def __init__(self, call_id: int, payload: bytes) -> None:
         """Create a request; ``payload`` is an encoded entry."""
@@ -45,10 +57,10 @@
 
 
 @wire(143)
-class OrderSettled(PeerMessage):
+class OrderSettled(CallPeerMessage):
     """The leader's answer: the order is committed and applied."""
 
-    __slots__ = ('call_id',)
+    __slots__ = ()
 
     def __init__(self, call_id: int) -> None:
         """Create an answer to the host that forwarded the order."""
@@ -56,10 +68,10 @@
 
 
 @wire(144)
-class ReadForwarded(PeerMessage):
+class ReadForwarded(CallPeerMessage):
     """A read of the document on its way to the leader."""
 
-    __slots__ = ('call_id',)
+    __slots__ = ()
 
     def __init__(self, call_id: int) -> None:
         """Create a request."""
@@ -67,10 +79,10 @@
 
 
 @wire(145)
-class ReadSettled(PeerMessage):
+class ReadSettled(CallPeerMessage):
     """The newest document; a quorum confirmed the leader since the read."""
 
-    __slots__ = ('call_id', 'content', 'version')
+    __slots__ = ('content', 'version')
 
     def __init__(self, call_id: int, version: int, content: bytes) -> None:
         """Create an answer; version 0 means that there is no document."""
@@ -160,10 +172,10 @@
         self.data_centre = data_centre
 
 
-class OrderAsked(Message):
+class OrderAsked(CallMessage):
     """An operator's order; ``OrderAnswered`` answers it."""
 
-    __slots__ = ('call_id', 'entry')
+    __slots__ = ('entry',)
 
     def __init__(self, call_id: int, entry: DocumentEntry | DrainEntry) -> None:
         """Create an order."""
@@ -171,10 +183,10 @@
         self.entry = entry
 
 
-class OrderAbandoned(Message):
+class OrderAbandoned(CallMessage):
     """Nobody waits for an order or a read any more."""
 
-    __slots__ = ('call_id',)
+    __slots__ = ()
 
     def __init__(self, call_id: int) -> None:
         """Create a notice."""
@@ -192,10 +204,10 @@
         self.is_accepted = is_accepted
 
 
-class ReadAsked(Message):
+class ReadAsked(CallMessage):
     """An operator's read; ``ReadAnswered`` answers it."""
 
-    __slots__ = ('call_id',)
+    __slots__ = ()
 
     def __init__(self, call_id: int) -> None:
         """Create a read."""
--- a/snipejunction/components/deployment/systems/orders.py
+++ b/snipejunction/components/deployment/systems/orders.py
@@ -18,6 +18,7 @@
 )
 from snipejunction.components.deployment.messages import (
     DocumentEntry,
+    DrainEntry,
     OrderAbandoned,
     OrderAnswered,
     OrderAsked,
@@ -43,8 +44,7 @@
 ) -> Iterator[Command]:
     entry = message.entry
     replica = _replica(node)
-    is_document = isinstance(entry, DocumentEntry)
-    if is_document and entry.version <= node.deployment.state.version:
+    if _is_held(entry, node):
         # Committed state already holds this version or a higher one.
         yield OrderAnswered(message.call_id, True)
     elif _propose(replica, encode(entry), message.call_id, '', node):
@@ -146,6 +146,12 @@
     return iter(())
 
 
+def _is_held(entry: DocumentEntry | DrainEntry, node: Node) -> bool:
+    if not isinstance(entry, DocumentEntry):
+        return False
+    return entry.version <= node.deployment.state.version
+
+
 def _replica(node: Node) -> Replica:
     return node.consensus.replicas[GROUP_DEPLOYMENT]
 
--- a/snipejunction/components/deployment/systems/recruiting.py
+++ b/snipejunction/components/deployment/systems/recruiting.py
@@ -36,13 +36,9 @@
 
 def known_controls(node: Node) -> list[str]:
     """Return the names of the members, of the seeds if there are none."""
-    replica = node.consensus.replicas.get(GROUP_DEPLOYMENT)
-    if replica is None:
-        return []
-    members = replica.membership.current.members
-    if not members:
-        return sorted(node.deployment.seeds)
-    return sorted({member.name for member in members})
+    members = node.consensus.members_of(GROUP_DEPLOYMENT)
+    names = {member.name for member in members}
+    return sorted(names or node.deployment.seeds)
 
 
 def is_cut_off(node: Node, now: float) -> bool:
--- a/snipejunction/components/gateway/choosing.py
+++ b/snipejunction/components/gateway/choosing.py
@@ -14,14 +14,15 @@
 from snipejunction.components.gateway.document import Route
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.components.gateway.upstreams import Upstream
-from snipejunction.components.registration.const import READY
+from snipejunction.components.registration.const import READY, SILENT
 from snipejunction.helpers.rendezvous import choose
 
 # Classes of searchers, the best first.
 _SOUND: Final = 0
 _DOUBTFUL: Final = 1
 _STALLED: Final = 2
-_COLD: Final = 3
+_SILENT: Final = 3
+_COLD: Final = 4
 
 
 def choose_upstream(
@@ -64,7 +65,7 @@
     now: float,
 ) -> bool:
     record = upstream.record
-    if record.state != READY or now < upstream.refused_until:
+    if record.state not in {READY, SILENT} or now < upstream.refused_until:
         return False
     if table.out.get(record.data_centre, False):
         return False
@@ -90,6 +91,8 @@
 def _grade(upstream: Upstream, now: float) -> int:
     if now < upstream.cold_until:
         return _COLD
+    if upstream.is_silent:
+        return _SILENT
     if upstream.is_stalled(now):
         return _STALLED
     if upstream.failure(now) > MAX_FAILURE_SHARE:
--- a/snipejunction/components/gateway/document.py
+++ b/snipejunction/components/gateway/document.py
@@ -6,8 +6,12 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from snipejunction.helpers.records import Record
 
+_ANYWHERE: Final[frozenset[str]] = frozenset()
+
 
 class Target(Record):
     """A service that takes a share of a route's requests."""
@@ -62,7 +66,7 @@
         targets: tuple[Target, ...] = (),
         top: int = 0,
         min_share: float = 0,
-        regions: frozenset[str] = frozenset(),
+        regions: frozenset[str] = _ANYWHERE,
     ) -> None:
         """Create a route; empty ``regions`` allow all regions."""
         self.name = name
--- a/snipejunction/components/gateway/learning.py
+++ b/snipejunction/components/gateway/learning.py
@@ -103,6 +103,13 @@
     table.entries_by_sender[message.sender] = message.entries
 
 
+def control_connected(name: str, table: GatewayTable) -> None:
+    """Drop what a control host said before; it tells all it knows anew."""
+    for upstream in table.upstreams.values():
+        if len(upstream.silent_by_sender) > 1:
+            upstream.silent_by_sender.pop(name, None)
+
+
 def lose_control(name: str, table: GatewayTable) -> None:
     """Forget what a lost control host knew, unless it was the last one."""
     if len(table.controls_by_sender) > 1:
@@ -117,7 +124,7 @@
 ) -> Iterator[Command]:
     """Take what control hosts heard of searchers; the newest news hold."""
     for record in message.searchers:
-        if _take_searcher(record, table, now):
+        if _take_searcher(record, message.sender, table, now):
             yield LogEvent(
                 EVENT_SEARCHER_LEARNED,
                 searcher=record.searcher_id,
@@ -129,6 +136,7 @@
 
 def _take_searcher(
     record: SearcherRecord,
+    sender: str,
     table: GatewayTable,
     now: float,
 ) -> bool:
@@ -136,8 +144,16 @@
     if known is None:
         if not record.service:
             return False
-        _add(Upstream(record, now), table)
+        known = Upstream(record, now)
+        _add(known, table)
+        known.silent_by_sender[sender] = record.state == SILENT
         return True
+    if record.born_ms == known.record.born_ms:
+        was_silent = known.is_silent
+        known.silent_by_sender[sender] = record.state == SILENT
+        if record.state == SILENT:
+            # Another control host may hear it: the record stays as it is.
+            return known.is_silent != was_silent
     if not _is_news(record, known.record):
         return False
     if not record.service:
@@ -145,7 +161,9 @@
         known.record.state = record.state
         return True
     if record.born_ms != known.record.born_ms:
-        _add(Upstream(record, now), table)
+        fresh = Upstream(record, now)
+        fresh.silent_by_sender[sender] = record.state == SILENT
+        _add(fresh, table)
         return True
     if record.service != known.record.service:
         table.upstreams_by_service[known.record.service].pop(
@@ -166,8 +184,6 @@
         return False
     if record.state == GONE:
         return True
-    if record.state == SILENT:
-        return record.sequence >= known.sequence
     return record.sequence > known.sequence
 
 
--- a/snipejunction/components/gateway/replies.py
+++ b/snipejunction/components/gateway/replies.py
@@ -3,9 +3,14 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import Final
 
 from snipejunction.helpers.records import Record
 
+_FIRST_SUCCESS: Final = 200
+_FIRST_REDIRECT: Final = 300
+SUCCESSES: Final = range(_FIRST_SUCCESS, _FIRST_REDIRECT)
+
 
 class Reply(Record):
     """A complete answer of a searcher.
@@ -32,7 +37,7 @@
     @property
     def is_success(self) -> bool:
         """Return whether the searcher answered with success."""
-        return 200 <= self.status < 300
+        return self.status in SUCCESSES
 
 
 class Fate(Enum):
--- a/snipejunction/components/gateway/upstreams.py
+++ b/snipejunction/components/gateway/upstreams.py
@@ -19,7 +19,8 @@
     ``slowness`` is the moving average of its time over the usual time of
     the same route, ``failure`` that of its failures; both return to normal
     while nothing is sent. ``stalled_at`` is when an attempt grew late
-    without any answer since.
+    without any answer since. ``silent_by_sender`` says for each control host
+    that told of it whether it hears nothing of the searcher.
     """
 
     __slots__ = (
@@ -31,6 +32,7 @@
         'last_cold_send',
         'record',
         'refused_until',
+        'silent_by_sender',
         'stalled_at',
     )
 
@@ -42,6 +44,7 @@
         self.last_cold_send = 0.0
         self.stalled_at: float | None = None
         self.refused_until = 0.0
+        self.silent_by_sender: dict[str, bool] = {}
         self._slowness = 1.0
         self._failure = 0.0
         self._sampled_at = now
@@ -51,6 +54,12 @@
         """Return the id of the searcher."""
         return self.record.searcher_id
 
+    @property
+    def is_silent(self) -> bool:
+        """Return whether no control host hears the searcher."""
+        senders = self.silent_by_sender
+        return bool(senders) and all(senders.values())
+
     def slowness(self, now: float) -> float:
         """Return its time over the usual one, 1 where nothing is known."""
         return 1.0 + (self._slowness - 1.0) * self._memory(now)
--- a/snipejunction/edge/control_host.py
+++ b/snipejunction/edge/control_host.py
@@ -10,6 +10,7 @@
 from snipejunction.commands import Command, LogEvent, SendPeer
 from snipejunction.components.consensus import systems as consensus_systems
 from snipejunction.components.consensus.messages import PersistLog
+from snipejunction.components.consensus.systems.idle import is_idle
 from snipejunction.components.deployment import systems as deployment_systems
 from snipejunction.components.deployment.messages import (
     DocumentEntry,
@@ -20,6 +21,10 @@
     ReadAnswered,
     ReadAsked,
 )
+from snipejunction.components.deployment.systems.addressing import (
+    control_near,
+    find_addresses,
+)
 from snipejunction.components.deployment.systems.recruiting import is_cut_off
 from snipejunction.components.registration import (
     systems as registration_systems,
@@ -35,7 +40,7 @@
 from snipejunction.edge.calls import CallTable
 from snipejunction.edge.core_runner import CoreRunner
 from snipejunction.edge.event_log import EventLog
-from snipejunction.edge.gateway.host_profile import HostProfile
+from snipejunction.edge.gateway.host_profile import HostProfile, parse_address
 from snipejunction.edge.gateway.service_metrics import ServiceMetrics
 from snipejunction.edge.keys import PeerKeys
 from snipejunction.edge.peers import Address, PeerTable
@@ -54,10 +59,6 @@
 # Time that a stopping leader has to hand over, in seconds.
 _HAND_OVER_SECONDS: Final = 1.5
 _STOP_POLL_SECONDS: Final = 0.05
-# An entry host that said nothing for this long is not named to callers, in
-# seconds.
-_STALE_ENTRY_SECONDS: Final = 3.0
-MAX_ADDRESSES: Final = 64
 SYSTEMS: Final = (
     consensus_systems,
     deployment_systems,
@@ -141,7 +142,7 @@
         """Hand leadership over, if others can take it."""
         self.submit(StopAsked())
         end = self._loop.time() + _HAND_OVER_SECONDS
-        while self._is_leading() and self._loop.time() < end:
+        while not is_idle(self._node) and self._loop.time() < end:
             await asyncio.sleep(_STOP_POLL_SECONDS)
 
     async def async_order(self, entry: DocumentEntry | DrainEntry) -> bool:
@@ -165,19 +166,14 @@
         """Take that a searcher ends."""
         self.submit(SearcherLeft(searcher_id))
 
-    def addresses(self, data_centre: str, region: str) -> list[str]:
-        """Return where a caller of a data centre connects, nearest only."""
-        oldest = self._loop.time() - _STALE_ENTRY_SECONDS
-        found = [
-            entry.presence
-            for entry in self._node.deployment.entries.values()
-            if not entry.presence.is_leaving and entry.heard_at >= oldest
-        ]
-        near = [one for one in found if one.data_centre == data_centre]
-        if not near:
-            near = [one for one in found if one.region == region]
-        chosen = near or found
-        return sorted(one.address for one in chosen)[:MAX_ADDRESSES]
+    def find_addresses(self, data_centre: str, region: str) -> list[str]:
+        """Return where a caller of a data centre connects."""
+        now = self._loop.time()
+        return find_addresses(self._node, data_centre, region, now)
+
+    def control_near(self, data_centre: str) -> str | None:
+        """Return the IP number of a control host near a searcher."""
+        return control_near(self._node, data_centre, self.peers.connected)
 
     def update_seeds(self, seeds: tuple[str, ...]) -> None:
         """Use other control hosts to start from."""
@@ -185,8 +181,7 @@
 
     def locate(self, host: str) -> Address | None:
         """Return where a host listens for its peers: its name says so."""
-        ip, _, port = host.rpartition(':')
-        return (ip, int(port)) if port.isdecimal() else None
+        return parse_address(host)
 
     def log(self, event: LogEvent) -> None:
         """Write an event."""
@@ -250,13 +245,6 @@
         assert isinstance(answer, Command)
         return answer
 
-    def _is_leading(self) -> bool:
-        replicas = self._node.consensus.replicas.values()
-        return any(
-            replica.is_leader and len(replica.membership.current.voter_ids) > 1
-            for replica in replicas
-        )
-
 
 def _order(entry: DocumentEntry | DrainEntry, call_id: int) -> OrderAsked:
     return OrderAsked(call_id, entry)
@@ -280,5 +268,5 @@
 
 
 def _voter_of(name: str) -> VoterAddress:
-    ip, _, port = name.rpartition(':')
-    return VoterAddress(name, ip, int(port))
+    ip, port = parse_address(name)
+    return VoterAddress(name, ip, port)
--- a/snipejunction/edge/event_log.py
+++ b/snipejunction/edge/event_log.py
@@ -72,7 +72,7 @@
         left_out = self._left_out.pop(number, 0)
         if left_out:
             line['left_out'] = left_out
-        self._waiting.append(json.dumps(line, default=str).encode() + b'\n')
+        self._waiting.append(json.dumps(line, default=str).encode())
         if self._timer is None:
             self._timer = self._loop.call_later(_FLUSH_SECONDS, self._flush)
 
@@ -118,4 +118,4 @@
         while self._waiting and size < _WRITE_BYTES:
             batch.append(self._waiting.popleft())
             size += len(batch[-1])
-        return b''.join(batch)
+        return b'\n'.join([*batch, b''])
--- a/snipejunction/edge/gateway/caller_connection.py
+++ b/snipejunction/edge/gateway/caller_connection.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
+from types import MappingProxyType
 from typing import Final, Protocol, TypeAlias
 
 import httptools
@@ -177,7 +178,7 @@
         """Tell whoever works on its requests that the caller is gone."""
         self.is_gone = True
         self._server.connection_closed(self)
-        requests = [*self._waiting]
+        requests = list(self._waiting)
         if self._current is not None:
             requests.append(self._current)
         self._waiting.clear()
@@ -307,6 +308,6 @@
     return b'\r\n'.join([*lines, b'', b''])
 
 
-_REASONS: Final = {
-    int(status): status.phrase.encode() for status in HTTPStatus
-}
+_REASONS: Final = MappingProxyType(
+    {int(status): status.phrase.encode() for status in HTTPStatus},
+)
--- /dev/null
+++ b/snipejunction/edge/gateway/control_link.py
@@ -0,0 +1,181 @@
+"""What an entry host says to control hosts, and what they tell it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from functools import singledispatchmethod
+from typing import Final, Protocol
+
+from snipejunction.commands import Command, LogEvent
+from snipejunction.components.deployment.const import PRESENCE_SECONDS
+from snipejunction.components.deployment.messages import (
+    DeploymentFed,
+    EntryPresence,
+    HostsFed,
+)
+from snipejunction.components.gateway.learning import (
+    ReadDocument,
+    control_connected,
+    lose_control,
+    take_deployment,
+    take_hosts,
+    take_searchers,
+)
+from snipejunction.components.gateway.tables import GatewayTable
+from snipejunction.components.registration.const import GONE
+from snipejunction.components.registration.messages import SearcherNews
+from snipejunction.edge import const
+from snipejunction.edge.gateway.host_profile import HostProfile, parse_address
+from snipejunction.edge.keys import PeerKeys
+from snipejunction.edge.peers import Address, PeerTable
+from snipejunction.messages import Message, PeerConnected, PeerLost
+
+
+class LinkHooks(Protocol):
+    """What the link needs of the host that it belongs to."""
+
+    table: GatewayTable
+
+    def log(self, event: LogEvent) -> None:
+        """Write an event."""
+
+    def document_changed(self) -> None:
+        """Adopt the limits of a document that is newly in force."""
+
+    def searcher_gone(self, searcher_id: str) -> None:
+        """Drop what is kept for a searcher."""
+
+
+class ControlLink:
+    """Streams to all control hosts that are known, found from the seeds."""
+
+    def __init__(
+        self,
+        profile: HostProfile,
+        address: Address,
+        keys: PeerKeys,
+        read_document: ReadDocument,
+        hooks: LinkHooks,
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        """Create a link; ``address`` is where callers connect."""
+        self._profile = profile
+        self._address = address
+        self._read_document = read_document
+        self._hooks = hooks
+        self._loop = loop
+        self._timer: asyncio.TimerHandle | None = None
+        self.is_leaving = False
+        self.peers: Final = PeerTable(
+            profile.name,
+            profile.incarnation,
+            keys,
+            self,
+            loop,
+        )
+
+    def start(self) -> None:
+        """Begin to announce this host."""
+        self.peers.start(None)
+        self._keep_announcing()
+
+    def stop_announcing(self) -> None:
+        """Say nothing more."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def update_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Use other control hosts to start from."""
+        self._profile.seeds = seeds
+        self.send_presence()
+
+    def send_presence(self) -> None:
+        """Tell all known control hosts how this host is."""
+        names = self._hooks.table.controls
+        if not names.intersection(self.peers.connected):
+            names |= set(self._profile.seeds)
+        presence = self._presence()
+        for name in sorted(names):
+            self.peers.send(name, presence)
+
+    def log(self, event: LogEvent) -> None:
+        """Write an event."""
+        self._hooks.log(event)
+
+    def locate(self, host: str) -> Address | None:
+        """Return where a host listens for its peers: its name says so."""
+        return parse_address(host)
+
+    def submit(self, message: Message) -> None:
+        """Take a message of a control host."""
+        try:
+            self._take(message)
+        except Exception as error:
+            # One message that fails must not end the host.
+            self.log(
+                LogEvent(
+                    const.EVENT_HANDLER_FAILED,
+                    kind=type(message).__name__,
+                    reason=repr(error),
+                ),
+            )
+
+    @singledispatchmethod
+    def _take(self, message: Message) -> None:
+        raise TypeError(f'no use for {type(message).__name__}')
+
+    @_take.register
+    def _take_connected(self, message: PeerConnected) -> None:
+        control_connected(message.host, self._hooks.table)
+        self.peers.send(message.host, self._presence())
+
+    @_take.register
+    def _take_lost(self, message: PeerLost) -> None:
+        lose_control(message.host, self._hooks.table)
+
+    @_take.register
+    def _take_deployment(self, message: DeploymentFed) -> None:
+        table = self._hooks.table
+        index = table.index
+        now = self._loop.time()
+        self._execute(
+            take_deployment(message, table, self._read_document, now),
+        )
+        if table.index != index:
+            self._hooks.document_changed()
+            self.send_presence()
+
+    @_take.register
+    def _take_hosts(self, message: HostsFed) -> None:
+        take_hosts(message, self._hooks.table)
+
+    @_take.register
+    def _take_searchers(self, message: SearcherNews) -> None:
+        now = self._loop.time()
+        self._execute(take_searchers(message, self._hooks.table, now))
+        for record in message.searchers:
+            if record.state == GONE:
+                self._hooks.searcher_gone(record.searcher_id)
+
+    def _execute(self, commands: Iterable[Command]) -> None:
+        for command in commands:
+            if isinstance(command, LogEvent):
+                self.log(command)
+
+    def _presence(self) -> EntryPresence:
+        ip, port = self._address
+        return EntryPresence(
+            self._profile.data_centre,
+            self._profile.region,
+            f'{ip}:{port}',
+            self.is_leaving,
+            self._hooks.table.index,
+        )
+
+    def _keep_announcing(self) -> None:
+        self.send_presence()
+        self._timer = self._loop.call_later(
+            PRESENCE_SECONDS,
+            self._keep_announcing,
+        )
--- a/snipejunction/edge/gateway/forwarding.py
+++ b/snipejunction/edge/gateway/forwarding.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Iterable
 from functools import partial
-from typing import Final, Protocol
+from typing import Any, Final, Protocol
 
 from snipejunction.commands import Command, LogEvent
 from snipejunction.components.gateway.const import (
@@ -14,9 +14,10 @@
     EVENT_REQUEST_FAILED,
 )
 from snipejunction.components.gateway.document import Route
-from snipejunction.components.gateway.replies import Answer, Outcome
+from snipejunction.components.gateway.replies import SUCCESSES, Answer, Outcome
 from snipejunction.components.gateway.run import (
     Attempt,
+    Part,
     RequestRun,
     SendAttempt,
 )
@@ -27,7 +28,6 @@
 from snipejunction.edge.gateway.searcher_pool import SearcherPool, Sending
 
 _MILLISECONDS: Final = 1000
-_SUCCESS: Final = range(200, 300)
 
 
 class ForwardingHooks(Protocol):
@@ -158,10 +158,10 @@
         self._abandon_later()
 
     def _log(self, answer: Answer, elapsed: float) -> None:
-        is_success = answer.status in _SUCCESS
+        is_success = answer.status in SUCCESSES
         kind = EVENT_REQUEST_DONE if is_success else EVENT_REQUEST_FAILED
         document = self._hooks.table.document
-        fields = {'cause': answer.cause} if answer.cause else {}
+        fields: dict[str, Any] = {'cause': answer.cause} if answer.cause else {}
         if answer.missing or not is_success:
             fields['lacking'] = _lacking(self._run)
         self._hooks.log(
@@ -203,19 +203,23 @@
 def _lacking(run: RequestRun) -> list[str]:
     """Describe the parts without a reply, for the log."""
     return [
-        '{0}: {1}'.format(
-            part.service,
-            ', '.join(
-                f'{one.upstream.searcher_id} {"open" if one.is_open else "ended"}'
-                for one in part.attempts
-            )
-            or 'nobody to ask',
-        )
+        f'{part.service}: {_tries(part)}'
         for part in run.parts
         if part.reply is None
     ]
 
 
+def _tries(part: Part) -> str:
+    tries = [
+        '{0} {1}'.format(
+            attempt.upstream.searcher_id,
+            'open' if attempt.is_open else 'ended',
+        )
+        for attempt in part.attempts
+    ]
+    return ', '.join(tries) or 'nobody to ask'
+
+
 def _prefix_of(request: CallerRequest, dialect: Dialect) -> bytes:
     """Return the head for searchers, but for what each attempt sets."""
     own = {dialect.deadline, dialect.expected_searcher}
--- a/snipejunction/edge/gateway/gateway_host.py
+++ b/snipejunction/edge/gateway/gateway_host.py
@@ -3,38 +3,24 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
 from contextlib import AsyncExitStack
-from functools import singledispatchmethod
 from random import Random
 from typing import Final
 
-from snipejunction.commands import Command, LogEvent
-from snipejunction.components.deployment.const import PRESENCE_SECONDS
-from snipejunction.components.deployment.messages import (
-    DeploymentFed,
-    EntryPresence,
-    HostsFed,
-)
+from snipejunction.commands import LogEvent
 from snipejunction.components.gateway.const import RETRY_AFTER_SECONDS
 from snipejunction.components.gateway.learning import (
     ReadDocument,
     forget_gone,
-    lose_control,
-    take_deployment,
-    take_hosts,
-    take_searchers,
 )
 from snipejunction.components.gateway.run import RequestRun
 from snipejunction.components.gateway.tables import GatewayTable
-from snipejunction.components.registration.const import GONE
-from snipejunction.components.registration.messages import SearcherNews
-from snipejunction.edge import const
 from snipejunction.edge.event_log import EventLog
 from snipejunction.edge.gateway.caller_connection import (
     CallerRequest,
     ConnectionLimits,
 )
+from snipejunction.edge.gateway.control_link import ControlLink
 from snipejunction.edge.gateway.dialect import Dialect
 from snipejunction.edge.gateway.forwarding import ForwardedRequest
 from snipejunction.edge.gateway.host_profile import HostProfile
@@ -42,9 +28,7 @@
 from snipejunction.edge.gateway.searcher_pool import SearcherPool
 from snipejunction.edge.gateway.service_metrics import ServiceMetrics
 from snipejunction.edge.keys import PeerKeys
-from snipejunction.edge.peers import Address, PeerTable
-from snipejunction.errors import StorageError
-from snipejunction.messages import Message, PeerConnected, PeerLost
+from snipejunction.errors import SettingsError, StorageError
 
 # Time that a stopping host goes on taking requests, in seconds: callers that
 # just asked for addresses may still come.
@@ -77,14 +61,14 @@
     ) -> None:
         """Create a host that does not listen yet."""
         loop = asyncio.get_running_loop()
+        if profile.addresses.callers is None:
+            raise SettingsError('listen', 'no address for callers')
         self._loop = loop
         self._profile = profile
-        self._read_document = read_document
+        self._address = profile.addresses.callers
         self._event_log = event_log
         self._stack = AsyncExitStack()
         self._runs: set[ForwardedRequest] = set()
-        self._is_leaving = False
-        self._presence_timer: asyncio.TimerHandle | None = None
         self._forget_timer: asyncio.TimerHandle | None = None
         self.dialect = dialect
         self.table = GatewayTable(
@@ -97,10 +81,11 @@
         self.pool = SearcherPool(dialect, loop)
         self.metrics = ServiceMetrics()
         self.callers: Final = HttpServer(self._serve, loop)
-        self.peers: Final = PeerTable(
-            profile.name,
-            profile.incarnation,
+        self.link: Final = ControlLink(
+            profile,
+            self._address,
             keys,
+            read_document,
             self,
             loop,
         )
@@ -108,30 +93,29 @@
     @property
     def failure(self) -> StorageError | None:
         """Return None: a host without a disk never fails by it."""
-        return None
 
     @property
     def is_ready(self) -> bool:
         """Return whether the host takes new work."""
-        return self.table.document is not None and not self._is_leaving
+        return self.table.document is not None and not self.link.is_leaving
 
     async def __aenter__(self) -> GatewayHost:
         """Open the listeners and begin to look for control hosts."""
         async with AsyncExitStack() as stack:
             stack.push_async_callback(self.pool.async_close)
-            stack.push_async_callback(self.peers.async_close)
+            stack.push_async_callback(self.link.peers.async_close)
             server = await self._loop.create_server(
-                self.peers.accept,
+                self.link.peers.accept,
                 self._profile.ip,
                 self._profile.peer_port,
             )
             stack.callback(server.close)
-            stack.callback(self._cancel_timers)
+            stack.callback(self.link.stop_announcing)
+            stack.callback(self._stop_forgetting)
             stack.callback(self.callers.close)
-            await self.callers.async_listen(*self._profile.caller_address)
-            self.peers.start(None)
+            await self.callers.async_listen(*self._address)
             self._stack = stack.pop_all()
-        self._keep_announcing()
+        self.link.start()
         self._keep_forgetting()
         return self
 
@@ -141,8 +125,8 @@
 
     async def async_stop(self) -> None:
         """Stop as planned: finish open requests, but not for ever."""
-        self._is_leaving = True
-        self._send_presence()
+        self.link.is_leaving = True
+        self.link.send_presence()
         self.callers.is_stopping = True
         started = self._loop.time()
         await asyncio.sleep(_ACCEPT_SECONDS)
@@ -156,8 +140,7 @@
 
     def update_seeds(self, seeds: tuple[str, ...]) -> None:
         """Use other control hosts to start from."""
-        self._profile.seeds = seeds
-        self._send_presence()
+        self.link.update_seeds(seeds)
 
     def log(self, event: LogEvent) -> None:
         """Write an event."""
@@ -171,47 +154,8 @@
         """Forget a request whose answer is given."""
         self._runs.discard(run)
 
-    def locate(self, host: str) -> Address | None:
-        """Return where a host listens for its peers: its name says so."""
-        ip, _, port = host.rpartition(':')
-        return (ip, int(port)) if port.isdecimal() else None
-
-    def submit(self, message: Message) -> None:
-        """Take a message of a control host."""
-        try:
-            self._take(message)
-        except Exception as error:
-            # One message that fails must not end the host.
-            self.log(
-                LogEvent(
-                    const.EVENT_HANDLER_FAILED,
-                    kind=type(message).__name__,
-                    reason=repr(error),
-                ),
-            )
-
-    @singledispatchmethod
-    def _take(self, message: Message) -> None:
-        raise TypeError(f'no use for {type(message).__name__}')
-
-    @_take.register
-    def _take_connected(self, message: PeerConnected) -> None:
-        self.peers.send(message.host, self._presence())
-
-    @_take.register
-    def _take_lost(self, message: PeerLost) -> None:
-        lose_control(message.host, self.table)
-
-    @_take.register
-    def _take_deployment(self, message: DeploymentFed) -> None:
-        now = self._loop.time()
-        index = self.table.index
-        self._execute(
-            take_deployment(message, self.table, self._read_document, now),
-        )
-        if self.table.index == index:
-            return
-        self._send_presence()
+    def document_changed(self) -> None:
+        """Adopt the limits of a document that is newly in force."""
         document = self.table.document
         if document is not None:
             limits = document.limits
@@ -222,21 +166,9 @@
                 limits.idle_seconds,
             )
 
-    @_take.register
-    def _take_hosts(self, message: HostsFed) -> None:
-        take_hosts(message, self.table)
-
-    @_take.register
-    def _take_searchers(self, message: SearcherNews) -> None:
-        self._execute(take_searchers(message, self.table, self._loop.time()))
-        for record in message.searchers:
-            if record.state == GONE:
-                self.pool.drop(record.searcher_id)
-
-    def _execute(self, commands: Iterable[Command]) -> None:
-        for command in commands:
-            if isinstance(command, LogEvent):
-                self.log(command)
+    def searcher_gone(self, searcher_id: str) -> None:
+        """Close the idle connections to a searcher."""
+        self.pool.drop(searcher_id)
 
     def _serve(self, request: CallerRequest) -> None:
         document = self.table.document
@@ -278,31 +210,6 @@
         self.metrics.note_refusal(status)
         request.respond(status, headers, b'')
 
-    def _send_presence(self) -> None:
-        names = self.table.controls
-        if not names.intersection(self.peers.connected):
-            names |= set(self._profile.seeds)
-        presence = self._presence()
-        for name in sorted(names):
-            self.peers.send(name, presence)
-
-    def _presence(self) -> EntryPresence:
-        ip, port = self._profile.caller_address
-        return EntryPresence(
-            self._profile.data_centre,
-            self._profile.region,
-            f'{ip}:{port}',
-            self._is_leaving,
-            self.table.index,
-        )
-
-    def _keep_announcing(self) -> None:
-        self._send_presence()
-        self._presence_timer = self._loop.call_later(
-            PRESENCE_SECONDS,
-            self._keep_announcing,
-        )
-
     def _keep_forgetting(self) -> None:
         forget_gone(self.table)
         self._forget_timer = self._loop.call_later(
@@ -310,7 +217,6 @@
             self._keep_forgetting,
         )
 
-    def _cancel_timers(self) -> None:
-        for timer in (self._presence_timer, self._forget_timer):
-            if timer is not None:
-                timer.cancel()
+    def _stop_forgetting(self) -> None:
+        if self._forget_timer is not None:
+            self._forget_timer.cancel()
--- a/snipejunction/edge/gateway/host_profile.py
+++ b/snipejunction/edge/gateway/host_profile.py
@@ -2,7 +2,46 @@
 
 from __future__ import annotations
 
+from typing import TypeAlias
+
 from snipejunction.components.gateway.budget import RepeatLimits
+from snipejunction.errors import SettingsError
+
+Address: TypeAlias = tuple[str, int]
+
+
+def parse_address(text: str) -> Address:
+    """Return the IP number and the port in ``IP:PORT``.
+
+    Raises:
+        SettingsError: if the text is no address with a port.
+    """
+    ip, _, port = text.rpartition(':')
+    if not ip or not port.isdecimal():
+        raise SettingsError(text, 'not an address with a port')
+    return ip, int(port)
+
+
+class ListenAddresses:
+    """Where a process listens, None for what it does not serve."""
+
+    __slots__ = ('callers', 'control', 'directory', 'metrics', 'ready')
+
+    def __init__(
+        self,
+        *,
+        callers: Address | None = None,
+        control: Address | None = None,
+        directory: Address | None = None,
+        metrics: Address | None = None,
+        ready: Address | None = None,
+    ) -> None:
+        """Create a set of addresses."""
+        self.callers = callers
+        self.control = control
+        self.directory = directory
+        self.metrics = metrics
+        self.ready = ready
 
 
 class HostProfile:
@@ -10,24 +49,19 @@
 
     ``name`` is the address for peers, so that any host can find it. ``seeds``
     are names of control hosts to start from; ``is_first_start`` says that
-    the whole system starts for the first time. Addresses are pairs of an IP
-    number and a port, None where the process does not serve them.
+    the whole system starts for the first time.
     """
 
     __slots__ = (
+        'addresses',
         'announce_seconds',
-        'caller_address',
-        'control_address',
         'data_centre',
         'data_folder',
-        'directory_address',
         'grace_seconds',
         'incarnation',
         'ip',
         'is_first_start',
-        'metrics_address',
         'peer_port',
-        'ready_address',
         'region',
         'regions',
         'repeat_limits',
@@ -49,12 +83,8 @@
         announce_seconds: float,
         ttl_seconds: float,
         repeat_limits: RepeatLimits,
+        addresses: ListenAddresses,
         data_folder: str | None = None,
-        caller_address: tuple[str, int] | None = None,
-        ready_address: tuple[str, int] | None = None,
-        control_address: tuple[str, int] | None = None,
-        directory_address: tuple[str, int] | None = None,
-        metrics_address: tuple[str, int] | None = None,
     ) -> None:
         """Create a profile; ``regions`` are by data centre."""
         self.ip = ip
@@ -69,12 +99,8 @@
         self.announce_seconds = announce_seconds
         self.ttl_seconds = ttl_seconds
         self.repeat_limits = repeat_limits
+        self.addresses = addresses
         self.data_folder = data_folder
-        self.caller_address = caller_address
-        self.ready_address = ready_address
-        self.control_address = control_address
-        self.directory_address = directory_address
-        self.metrics_address = metrics_address
 
     @property
     def name(self) -> str:
--- a/snipejunction/edge/gateway/searcher_connection.py
+++ b/snipejunction/edge/gateway/searcher_connection.py
@@ -19,6 +19,9 @@
 
 OnOutcome: TypeAlias = Callable[[Outcome], None]
 _MISDIRECTED: Final = 421
+_CONTINUE: Final = 100
+_OK: Final = 200
+_INTERIM: Final = range(_CONTINUE, _OK)
 _TIMEOUT_FIELD: Final = b'timeout='
 
 
@@ -146,7 +149,7 @@
 
     def _complete(self) -> None:
         status = self._parser.get_status_code()
-        if 100 <= status < 200:
+        if status in _INTERIM:
             self._reset_reply()
             return
         echoed = self._find(self._dialect.request_id)
--- a/snipejunction/edge/gateway/searcher_pool.py
+++ b/snipejunction/edge/gateway/searcher_pool.py
@@ -10,6 +10,7 @@
 from snipejunction.components.gateway.upstreams import Upstream
 from snipejunction.edge.gateway.const import CONNECT_SECONDS
 from snipejunction.edge.gateway.dialect import Dialect
+from snipejunction.edge.gateway.host_profile import parse_address
 from snipejunction.edge.gateway.searcher_connection import (
     OnOutcome,
     SearcherConnection,
@@ -92,11 +93,14 @@
 
     def drop(self, searcher_id: str) -> None:
         """Close the idle connections to a searcher that is gone."""
-        for key in list(self._by_searcher):
-            if key[0] == searcher_id:
-                for connection in list(self._by_searcher[key]):
-                    if not connection.is_busy:
-                        connection.close('the searcher is gone')
+        idle = [
+            connection
+            for key, connections in self._by_searcher.items()
+            for connection in connections
+            if key[0] == searcher_id and not connection.is_busy
+        ]
+        for connection in idle:
+            connection.close('the searcher is gone')
 
     async def async_close(self) -> None:
         """Close all connections."""
@@ -121,12 +125,10 @@
         key: tuple[str, int],
         sending: Sending,
     ) -> None:
-        ip, _, port = address.rpartition(':')
         self.opened += 1
         connect = self._loop.create_connection(
             partial(self._make, key),
-            ip,
-            int(port),
+            *parse_address(address),
         )
         try:
             _, connection = await asyncio.wait_for(connect, CONNECT_SECONDS)
--- a/snipejunction/platform/announcements.py
+++ b/snipejunction/platform/announcements.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+from types import MappingProxyType
 from typing import Final
 
 from snipejunction.components.registration.const import LEAVING, READY
 from snipejunction.components.registration.messages import SearcherRecord
+from snipejunction.edge.gateway.host_profile import parse_address
 from snipejunction.platform.fields import parse_json
 
-_STATES: Final = {'ready': READY, 'draining': LEAVING}
+_STATES: Final = MappingProxyType({'ready': READY, 'draining': LEAVING})
 
 
 def read_announcement(searcher_id: str, content: bytes) -> SearcherRecord:
@@ -22,9 +24,7 @@
     if state is None:
         raise fields.error('state', 'unknown')
     address = fields.text('address')
-    ip, _, port = address.rpartition(':')
-    if not ip or not port.isdecimal():
-        raise fields.error('address', 'not an address with a port')
+    parse_address(address)
     return SearcherRecord(
         searcher_id,
         fields.text('service'),
--- a/snipejunction/platform/calls.py
+++ b/snipejunction/platform/calls.py
@@ -64,7 +64,7 @@
 
     def _resolve(self, request: CallerRequest, query: str) -> None:
         wanted = parse_qs(query)
-        addresses = self._host.addresses(
+        addresses = self._host.find_addresses(
             wanted.get('zone', [''])[0],
             wanted.get('region', [''])[0],
         )
@@ -86,10 +86,11 @@
             respond_status(request, _UNAVAILABLE)
             return
         answer = {}
-        address = self._profile.control_address
-        is_near = searcher.data_centre == self._profile.data_centre
-        if address is not None and is_near:
-            answer['beatUrl'] = f'{address[0]}:{address[1]}'
+        address = self._profile.addresses.control
+        near = self._host.control_near(searcher.data_centre)
+        if address is not None and near is not None:
+            # All control hosts listen on the same port.
+            answer['beatUrl'] = f'{near}:{address[1]}'
         respond_json(request, _OK, answer)
 
     def _leave(self, request: CallerRequest, searcher_id: str) -> None:
--- a/snipejunction/platform/control.py
+++ b/snipejunction/platform/control.py
@@ -28,9 +28,9 @@
         )
         await stack.enter_async_context(host)
         calls = ControlCalls(host, profile)
-        await process.async_listen(profile.control_address, calls.take, stack)
+        await process.async_listen(profile.addresses.control, calls.take, stack)
         await process.async_listen(
-            profile.directory_address,
+            profile.addresses.directory,
             calls.take,
             stack,
         )
--- a/snipejunction/platform/documents.py
+++ b/snipejunction/platform/documents.py
@@ -34,9 +34,7 @@
         service.name: service
         for service in map(_service, fields.tables('services'))
     }
-    routes = tuple(
-        _route(route, services) for route in fields.tables('routes')
-    )
+    routes = tuple(_route(route, services) for route in fields.tables('routes'))
     _check_places(routes)
     return Document(
         fields.whole('version', lowest=1),
@@ -49,7 +47,7 @@
 def _service(fields: Fields) -> Service:
     return Service(
         fields.text('name'),
-        fields.whole('maxConns', 1),
+        fields.whole('maxConns', 1, 1),
         fields.number('coldStartS', 0),
         fields.number('coldPerS', 0),
     )
--- a/snipejunction/platform/entry.py
+++ b/snipejunction/platform/entry.py
@@ -4,6 +4,7 @@
 
 import secrets
 from contextlib import AsyncExitStack
+from functools import partial
 from typing import Final
 
 from snipejunction.edge.gateway.caller_connection import CallerRequest
@@ -31,16 +32,18 @@
             secrets.randbits(_SEED_BITS),
         )
 
-        def show_readiness(request: CallerRequest) -> None:
-            status = _OK if host.is_ready else _UNAVAILABLE
-            request.respond(status, [], b'')
-
         await stack.enter_async_context(host)
-        address = process.profile.ready_address
-        await process.async_listen(address, show_readiness, stack)
+        address = process.profile.addresses.ready
+        show = partial(_show_readiness, host)
+        await process.async_listen(address, show, stack)
         return await process.async_serve(host, stack)
     return 0
 
 
+def _show_readiness(host: GatewayHost, request: CallerRequest) -> None:
+    status = _OK if host.is_ready else _UNAVAILABLE
+    request.respond(status, [], b'')
+
+
 if __name__ == '__main__':
     run(ROLE_ENTRY, async_run_entry)
--- a/snipejunction/platform/process.py
+++ b/snipejunction/platform/process.py
@@ -7,10 +7,11 @@
 import os
 import signal
 import sys
-from collections.abc import Callable
-from contextlib import AsyncExitStack
+from collections.abc import Callable, Coroutine
+from contextlib import AsyncExitStack, closing
+from functools import partial
 from pathlib import Path
-from typing import Final, Protocol, TypeAlias
+from typing import Any, Final, Protocol, TypeAlias
 
 from snipejunction.commands import LogEvent
 from snipejunction.edge import const
@@ -119,11 +120,8 @@
         host: Host,
         stack: AsyncExitStack,
     ) -> None:
-        def show(request: CallerRequest) -> None:
-            headers = plain_headers(_TEXT)
-            request.respond(_OK, headers, host.metrics.text())
-
-        await self.async_listen(self.profile.metrics_address, show, stack)
+        show = partial(_show_metrics, host)
+        await self.async_listen(self.profile.addresses.metrics, show, stack)
 
     def _watch_settings(self) -> None:
         # The file may change without a signal.
@@ -151,7 +149,11 @@
             self._host.update_seeds(fresh.seeds)
 
 
-RunRole: TypeAlias = Callable[[Process], object]
+def _show_metrics(host: Host, request: CallerRequest) -> None:
+    request.respond(_OK, plain_headers(_TEXT), host.metrics.text())
+
+
+RunRole: TypeAlias = Callable[[Process], Coroutine[Any, Any, int]]
 
 
 def run(role: str, run_role: RunRole) -> None:
@@ -175,12 +177,8 @@
     run_role: RunRole,
 ) -> int:
     process = Process(profile, path, role)
-    try:
-        work = run_role(process)
-        assert asyncio.iscoroutine(work)
-        return int(await work)
-    finally:
-        process.log.close()
+    with closing(process.log):
+        return await run_role(process)
 
 
 def _stamp_of(path: Path) -> tuple[int, int]:
--- a/snipejunction/platform/settings.py
+++ b/snipejunction/platform/settings.py
@@ -5,17 +5,23 @@
 import secrets
 import tomllib
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any, Final
 
 from snipejunction.components.gateway.budget import RepeatLimits
-from snipejunction.edge.gateway.host_profile import HostProfile
+from snipejunction.edge.gateway.host_profile import (
+    Address,
+    HostProfile,
+    ListenAddresses,
+    parse_address,
+)
 from snipejunction.errors import SettingsError
 from snipejunction.platform.fields import Fields
 
 ROLE_CONTROL: Final = 'control'
 ROLE_ENTRY: Final = 'entry'
 # Ports of the roles for peers, counted from the start of the free range.
-_PORT_OFFSETS: Final = {ROLE_CONTROL: 0, ROLE_ENTRY: 1}
+_PORT_OFFSETS: Final = MappingProxyType({ROLE_CONTROL: 0, ROLE_ENTRY: 1})
 _INCARNATION_BYTES: Final = 8
 _DEFAULT_GRACE_SECONDS: Final = 6
 _DEFAULT_BEAT_MS: Final = 1000
@@ -77,11 +83,13 @@
         ttl_seconds=bounds.number('ttl_max_s', _DEFAULT_TTL_SECONDS),
         repeat_limits=limits,
         data_folder=fields.text('dataDir', '') or None,
-        caller_address=_address(listen, 'front'),
-        ready_address=_address(listen, 'ready'),
-        control_address=_address(listen, 'control'),
-        directory_address=_address(listen, 'directory'),
-        metrics_address=(ip, metrics_port) if metrics_port else None,
+        addresses=ListenAddresses(
+            callers=_address(listen, 'front'),
+            ready=_address(listen, 'ready'),
+            control=_address(listen, 'control'),
+            directory=_address(listen, 'directory'),
+            metrics=(ip, metrics_port) if metrics_port else None,
+        ),
     )
 
 
@@ -92,10 +100,7 @@
     return tuple(f'{host}:{control_port}' for host in hosts)
 
 
-def _address(listen: Fields, name: str) -> tuple[str, int] | None:
+def _address(listen: Fields, name: str) -> Address | None:
     if not listen.has(name):
         return None
-    ip, _, port = listen.text(name).rpartition(':')
-    if not port.isdecimal():
-        raise listen.error(name, 'not an address with a port')
-    return ip, int(port)
+    return parse_address(listen.text(name))
--- /dev/null
+++ b/tests/components/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the folder of the same name."""
--- /dev/null
+++ b/tests/components/gateway/stage.py
@@ -0,0 +1,97 @@
+"""Tables of an entry host with searchers, for tests only."""
+
+from __future__ import annotations
+
+from random import Random
+from types import MappingProxyType
+
+from snipejunction.components.deployment.messages import DeploymentFed
+from snipejunction.components.gateway.budget import RepeatLimits
+from snipejunction.components.gateway.document import (
+    CallerLimits,
+    Document,
+    Route,
+    Service,
+    Target,
+)
+from snipejunction.components.gateway.learning import (
+    take_deployment,
+    take_searchers,
+)
+from snipejunction.components.gateway.tables import GatewayTable
+from snipejunction.components.registration.const import READY
+from snipejunction.components.registration.messages import (
+    SearcherNews,
+    SearcherRecord,
+)
+
+NAME = '10.0.0.1:7001'
+REGIONS = MappingProxyType({'near': 'one', 'beside': 'one', 'far': 'two'})
+LIMITS = CallerLimits(16384, 262144, 3, 15)
+
+
+def make_table(name: str = NAME, ratio: float = 0.2) -> GatewayTable:
+    """Return the tables of a host in the data centre ``near``."""
+    limits = RepeatLimits(ratio, 60, 10)
+    return GatewayTable(name, 'near', dict(REGIONS), limits, Random(1))
+
+
+def make_route(name: str = 'r', **fields) -> Route:
+    """Return a route of one service, or of shards."""
+    fields.setdefault('is_idempotent', True)
+    fields.setdefault('timeout', 1.0)
+    fields.setdefault('objective', 0.2)
+    fields.setdefault('attempts', 2)
+    if 'shards' not in fields:
+        fields.setdefault('targets', (Target('s', 1),))
+    return Route(name, 'a.example', '/p/', **fields)
+
+
+def install(table: GatewayTable, *routes: Route, **service) -> None:
+    """Put a document with ``routes`` in force."""
+    names = {name for route in routes for name in route.shards}
+    names |= {one.service for route in routes for one in route.targets}
+    service.setdefault('max_connections', 30)
+    service.setdefault('cold_seconds', 3.0)
+    service.setdefault('cold_rate', 0.0)
+    services = {name: Service(name, **service) for name in names}
+    document = Document(1, routes, services, LIMITS)
+    fed = DeploymentFed(1, 1, b'', {})
+    fed.sender = 'c1'
+    list(take_deployment(fed, table, lambda content: document, 0))
+
+
+def make_record(
+    searcher_id: str,
+    service: str = 's',
+    *,
+    place: str = 'near',
+    sequence: int = 1,
+    born: int = 1,
+    state: int = READY,
+    cold: float = 0,
+) -> SearcherRecord:
+    """Return a record of a searcher with three slots."""
+    return SearcherRecord(
+        searcher_id,
+        service,
+        '10.9.0.1:80',
+        place,
+        3,
+        cold,
+        born,
+        sequence,
+        state,
+    )
+
+
+def tell(
+    table: GatewayTable,
+    *records: SearcherRecord,
+    sender: str = 'c1',
+    now: float = 0.0,
+) -> None:
+    """Give a host news of searchers."""
+    news = SearcherNews(list(records))
+    news.sender = sender
+    list(take_searchers(news, table, now))
--- /dev/null
+++ b/tests/components/gateway/test_run.py
@@ -0,0 +1,226 @@
+"""Decisions about one request."""
+
+from __future__ import annotations
+
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan, HasLength, Is, LessThan
+
+from snipejunction.commands import LogEvent
+from snipejunction.components.gateway.replies import Fate, Outcome, Reply
+from snipejunction.components.gateway.run import RequestRun, SendAttempt
+from tests.components.gateway.stage import (
+    install,
+    make_record,
+    make_route,
+    make_table,
+    tell,
+)
+
+SHARDS = ('s0', 's1', 's2', 's3')
+
+
+def answered(body: bytes = b'', status: int = 200, signature: str = 'x'):
+    """Return the outcome of a complete answer."""
+    return Outcome(Fate.ANSWERED, Reply(status, [], body, signature))
+
+
+class RunCase(TestCase):
+    """A run over searchers near and far."""
+
+    def begin(self, route, *, now: float = 10.0, ratio: float = 0.2) -> None:
+        self.table = make_table(ratio=ratio)
+        self.route = route
+        install(self.table, route)
+        services = route.shards or ('s',)
+        for service in services:
+            for place in ('near', 'far'):
+                record = make_record(f'{service}-{place}', service, place=place)
+                tell(self.table, record)
+        self.served = RequestRun('id', route, self.table, now + 1, now)
+        self.sent = self.sends(self.served.start(now))
+
+    def sends(self, commands) -> list:
+        self.events = []
+        found = []
+        for command in commands:
+            if isinstance(command, SendAttempt):
+                found.append(command.attempt)
+            elif isinstance(command, LogEvent):
+                self.events.append(command.event.number)
+        return found
+
+    def take(self, attempt, outcome, now: float = 10.01) -> list:
+        return self.sends(self.served.take(attempt, outcome, now))
+
+    def advance(self, now: float) -> list:
+        return self.sends(self.served.advance(now))
+
+
+class MergedAnswerTest(RunCase):
+    """Requests to which all shards contribute."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.begin(make_route(shards=SHARDS, top=2, min_share=0.7))
+
+    def answer_but(self, count: int) -> None:
+        for attempt in self.sent[: len(self.sent) - count]:
+            self.take(attempt, answered(signature=attempt.part.service))
+
+    def test_near_searchers_first(self) -> None:
+        """Each shard is asked once, near the host."""
+        names = [one.upstream.searcher_id for one in self.sent]
+        expected = [f'{shard}-near' for shard in SHARDS]
+        self.assertThat(names, Equals(expected))
+
+    def test_whole_answer(self) -> None:
+        """All parts make a whole answer with the greatest records."""
+        records = [bytes([number]) * 16 for number in range(8)]
+        for number, attempt in enumerate(self.sent):
+            body = b''.join((records[number], records[number + 4], b'rest'))
+            self.take(attempt, answered(body, signature=f'p{number}'))
+        answer = self.served.answer
+        self.assertThat(answer.body, Equals(records[7] + records[6]))
+        self.assertThat(answer.signatures, Equals(['p0', 'p1', 'p2', 'p3']))
+        self.assertThat(answer.missing, Equals(0))
+
+    def test_waits_for_the_last_part(self) -> None:
+        """A missing part is waited for while the whole can be in time."""
+        self.answer_but(1)
+        self.assertThat(self.served.answer, Is(None))
+
+    def test_partial_answer_in_time(self) -> None:
+        """Enough parts make an answer when the objective is near."""
+        self.answer_but(1)
+        self.advance(10.19)
+        self.assertThat(self.served.answer.status, Equals(200))
+        self.assertThat(self.served.answer.missing, Equals(1))
+        self.assertThat(self.served.answer.signatures, HasLength(3))
+
+    def test_too_few_parts(self) -> None:
+        """Too few parts are no success, and may have run."""
+        self.answer_but(2)
+        self.advance(10.19)
+        self.assertThat(self.served.answer, Is(None))
+        self.advance(11.0)
+        self.assertThat(self.served.answer.status, Equals(504))
+        self.assertThat(self.served.answer.retry_after, Equals(0))
+
+    def test_hedge_elsewhere(self) -> None:
+        """A late part is asked for once more, at another searcher."""
+        due = self.served.next_due()
+        self.assertThat(due, GreaterThan(10.0))
+        self.assertThat(due, LessThan(10.1))
+        hedges = self.advance(due)
+        names = [one.upstream.searcher_id for one in hedges]
+        self.assertThat(names, Equals([f'{shard}-far' for shard in SHARDS]))
+        self.assertThat(self.advance(due + 0.05), HasLength(0))
+
+    def test_first_reply_counts(self) -> None:
+        """The other reply of a hedged part is dropped."""
+        hedges = self.advance(self.served.next_due())
+        for attempt in hedges:
+            self.take(attempt, answered(signature='second'))
+        for attempt in self.sent:
+            self.take(attempt, answered(signature='first'))
+        self.assertThat(set(self.served.answer.signatures), Equals({'second'}))
+
+    def test_failure_is_no_part(self) -> None:
+        """A failure of a searcher is repeated elsewhere, not merged."""
+        second = self.take(self.sent[0], answered(status=500))
+        self.assertThat(second, HasLength(1))
+        self.take(second[0], answered(status=500))
+        for attempt in self.sent[1:]:
+            self.take(attempt, answered())
+        self.assertThat(self.served.answer.missing, Equals(1))
+
+    def test_answer_without_signature_is_no_part(self) -> None:
+        """Success needs the searcher's proof of origin."""
+        second = self.take(self.sent[0], answered(signature=''))
+        self.assertThat(second, HasLength(1))
+
+
+class RefusalTest(RunCase):
+    """Requests that cannot be served."""
+
+    def test_too_few_searchers(self) -> None:
+        """Without enough searchers nothing is sent, and that is said."""
+        table = make_table()
+        route = make_route(shards=SHARDS, min_share=0.7)
+        install(table, route)
+        tell(table, make_record('a', 's0'), make_record('b', 's1'))
+        run = RequestRun('id', route, table, 11, 10)
+        self.assertThat(self.sends(run.start(10)), HasLength(0))
+        self.assertThat(run.answer.status, Equals(503))
+        self.assertThat(run.answer.retry_after, GreaterThan(0))
+
+    def test_refused_everywhere(self) -> None:
+        """A request that all searchers shed has not run."""
+        self.begin(make_route())
+        second = self.take(self.sent[0], Outcome(Fate.SHED))
+        self.take(second[0], Outcome(Fate.SHED))
+        self.assertThat(self.served.answer.status, Equals(503))
+
+    def test_lost_is_not_refused(self) -> None:
+        """A request that may have run is never said not to have run."""
+        self.begin(make_route(attempts=1))
+        self.take(self.sent[0], Outcome(Fate.LOST))
+        self.assertThat(self.served.answer.status, Equals(502))
+
+
+class AtMostOnceTest(RunCase):
+    """Requests that are not idempotent."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.begin(make_route(is_idempotent=False))
+
+    def test_never_hedged(self) -> None:
+        """A late request is not sent again."""
+        self.assertThat(self.served.next_due(), GreaterThan(10.9))
+        self.assertThat(self.advance(10.5), HasLength(0))
+
+    def test_lost_is_not_repeated(self) -> None:
+        """A request that may have run is not sent again."""
+        repeats = self.take(self.sent[0], Outcome(Fate.LOST))
+        self.assertThat(repeats, HasLength(0))
+        self.assertThat(self.served.answer.status, Equals(502))
+
+    def test_failure_is_passed_on(self) -> None:
+        """A searcher's failure goes to the caller as it is."""
+        self.take(self.sent[0], answered(b'why', status=500))
+        self.assertThat(self.served.answer.status, Equals(500))
+        self.assertThat(self.served.answer.body, Equals(b'why'))
+
+    def test_shed_is_repeated(self) -> None:
+        """A request that did not run may go to another searcher."""
+        repeats = self.take(self.sent[0], Outcome(Fate.SHED))
+        self.assertThat(repeats, HasLength(1))
+        self.take(repeats[0], Outcome(Fate.LOST))
+        self.assertThat(self.served.answer.status, Equals(502))
+
+
+class BudgetTest(RunCase):
+    """The budget that all hosts share."""
+
+    def test_no_budget(self) -> None:
+        """Without budget a late part is waited for."""
+        self.begin(make_route(), ratio=0)
+        budget = self.table.budget('s')
+        for _ in range(60):
+            budget.note_repeat(10)
+        self.assertThat(self.advance(self.served.next_due()), HasLength(0))
+        self.assertThat(self.events, Equals([948]))
+
+    def test_share_of_each_host(self) -> None:
+        """All hosts together keep the limits."""
+        table = make_table()
+        table.entries_by_sender['c1'] = [
+            f'10.0.0.{one}:7001' for one in range(1, 11)
+        ]
+        budget = table.budget('s')
+        for _ in range(100):
+            budget.note_request(10)
+        left = budget.left(len(table.entries), 10)
+        self.assertThat(left * 10, LessThan(1000 * 0.2 + 60))
+        self.assertThat(budget.left(10, 21), LessThan(left))
