Hedge by the usual time and leave slow searchers sooner

Slow answers raised the quantile that starts a hedge to its bound of 31 ms, too late for a new connection to another region; a searcher had to be six times slow before the next was chosen; and 180 hedges found no budget because the same slow searcher was asked first again.

Change: a hedge starts after 2.5 medians at the latest, slow answers weigh three times as much as quick ones, and a searcher elsewhere needs to be 1.5 times faster, not 3 times.

--- a/snipejunction/components/gateway/const.py
+++ b/snipejunction/components/gateway/const.py
@@ -15,13 +15,17 @@
 # Share of the budget for repeats that this host uses: the rest covers hosts
 # that count with an older list of hosts.
 BUDGET_SHARE: Final = 0.7
-# Weight of a new sample in the moving averages of one searcher.
+# Weights of a new sample in the moving averages of one searcher. Slow
+# answers weigh more: each further one is paid by a caller.
 LATENCY_WEIGHT: Final = 0.12
+SLOW_WEIGHT: Final = 0.35
 FAILURE_WEIGHT: Final = 0.15
 # Time after which half of what is held against a searcher is forgotten, in
 # seconds: about as long as a short disruption lasts.
 FORGET_SECONDS: Final = 2.0
-# Hedges start after this quantile of the times of a route.
+# Hedges start after this quantile of the times of a route, or after so many
+# medians: slow searchers raise the quantile, hardly the median.
+HEDGE_MEDIANS: Final = 2.5
 HEDGE_QUANTILE: Final = 0.93
 # Samples that a quantile is taken from, and new ones between two looks.
 QUANTILE_SAMPLES: Final = 256
@@ -30,9 +34,9 @@
 MIN_HEDGE_SECONDS: Final = 0.008
 # Share of the objective after which a hedge starts at the latest.
 MAX_HEDGE_SHARE: Final = 0.35
-# A searcher in another data centre has to be this much faster to be chosen,
-# because bytes between data centres are dear.
-AWAY_FACTOR: Final = 3.0
+# A searcher in another data centre has to be this much faster to be chosen:
+# a part from there costs a few hundredths of what a late answer costs.
+AWAY_FACTOR: Final = 1.5
 # Time of a round trip to another region, in seconds; added to what is
 # expected of searchers there before any sample.
 AWAY_SECONDS: Final = 0.016
--- a/snipejunction/components/gateway/run.py
+++ b/snipejunction/components/gateway/run.py
@@ -12,6 +12,7 @@
     DEADLINE_MARGIN_SECONDS,
     EVENT_NO_REPEAT,
     EVENT_REPEATED,
+    HEDGE_MEDIANS,
     MAX_HEDGE_SHARE,
     MAX_REFUSED_SENDS,
     MIN_HEDGE_SECONDS,
@@ -244,9 +245,10 @@
             return NEVER
         if not part.is_waiting or self._route.attempts < 2:
             return NEVER
-        usual = self._table.times_of(self._route.name).value
-        longest = self._route.objective * MAX_HEDGE_SHARE
-        wait = longest if usual is None else min(usual, longest)
+        times = self._table.times_of(self._route.name)
+        wait = self._route.objective * MAX_HEDGE_SHARE
+        if times.value is not None and times.median is not None:
+            wait = min(wait, times.value, times.median * HEDGE_MEDIANS)
         return part.attempts[-1].sent_at + max(wait, MIN_HEDGE_SECONDS)
 
     def _retry(
--- a/snipejunction/components/gateway/upstreams.py
+++ b/snipejunction/components/gateway/upstreams.py
@@ -7,6 +7,7 @@
     FORGET_SECONDS,
     LATENCY_WEIGHT,
     REFUSED_SECONDS,
+    SLOW_WEIGHT,
 )
 from snipejunction.components.registration.messages import SearcherRecord
 
@@ -71,7 +72,8 @@
     def note_time(self, ratio: float, now: float) -> None:
         """Take the time of an answer over the usual one."""
         self._settle(now)
-        self._slowness += (ratio - self._slowness) * LATENCY_WEIGHT
+        weight = SLOW_WEIGHT if ratio > self._slowness else LATENCY_WEIGHT
+        self._slowness += (ratio - self._slowness) * weight
         self._failure -= self._failure * FAILURE_WEIGHT
         self.stalled_at = None
 
--- a/tests/components/gateway/test_choosing.py
+++ b/tests/components/gateway/test_choosing.py
@@ -132,3 +132,20 @@
         points = [number / 8 for number in range(8)]
         found = [pick_target(route, point) for point in points]
         self.assertThat(found, Equals(list('aacccccc')))
+
+
+class SlownessTest(TestCase):
+    """How soon a searcher that turned slow is left alone."""
+
+    def test_two_slow_answers(self) -> None:
+        """Two answers of tenfold time send the next request elsewhere."""
+        table = make_table()
+        route = make_route()
+        install(table, route)
+        tell(table, make_record('a'), make_record('b', place='far'))
+        for _ in range(16):
+            table.times_of('r').add(0.02)
+        for _ in range(2):
+            table.upstreams['a'].note_time(10, 1)
+        found = choose_upstream('s', route, (), table, 1.05)
+        self.assertThat(found.searcher_id, Equals('b'))
--- a/tests/components/gateway/test_run.py
+++ b/tests/components/gateway/test_run.py
@@ -224,3 +224,16 @@
         left = budget.left(len(table.entries), 10)
         self.assertThat(left * 10, LessThan(1000 * 0.2 + 60))
         self.assertThat(budget.left(10, 21), LessThan(left))
+
+
+class HedgeTimeTest(RunCase):
+    """When a late part is asked for again."""
+
+    def test_slow_searchers_do_not_delay_hedges(self) -> None:
+        """A tenth of slow answers leaves hedges near the usual time."""
+        self.begin(make_route(objective=0.4))
+        times = self.table.times_of('r')
+        for number in range(64):
+            times.add(0.2 if number % 10 == 0 else 0.008)
+        wait = self.served.next_due() - 10.0
+        self.assertThat(wait, LessThan(0.021))
