Test control hosts that form, replace, order and read on virtual time

17 cases: forming once, wiped disks, replacement at another address (also the new one first, and of the leader), silence without an heir, a change that outlives its leader's disk beside a host that missed it, races on one version, drains in order, loss of power of all, reads of a leader that is cut off.

--- /dev/null
+++ b/tests/components/deployment/harness.py
@@ -0,0 +1,120 @@
+"""Control hosts on a lossy network in virtual time, for tests only."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from snipejunction.commands import Command
+from snipejunction.components.deployment import systems
+from snipejunction.components.deployment.machine import DeploymentMachine
+from snipejunction.components.deployment.messages import (
+    DocumentEntry,
+    DrainEntry,
+    OrderAnswered,
+    OrderAsked,
+    ReadAnswered,
+    ReadAsked,
+)
+from snipejunction.const import GROUP_DEPLOYMENT
+from snipejunction.host_settings import HostIdentity, HostSettings
+from tests.components.consensus import harness
+
+SEEDS = ('h1', 'h2', 'h3')
+
+
+class ControlCluster(harness.Cluster):
+    """Control hosts of three data centres; the seeds form a group."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(
+            len(SEEDS),
+            seed,
+            groups=(GROUP_DEPLOYMENT,),
+            machine_of=self._make_machine,
+        )
+        self.next_call = 0
+        for number, name in enumerate(SEEDS):
+            self.hosts[name].settings.identity.data_centre = f'dc{number}'
+        self.run_until(self.is_placed)
+
+    def is_placed(self) -> bool:
+        """Return whether the leader knows all data centres."""
+        leader = self.leader()
+        if leader is None:
+            return False
+        members = leader.replica.membership.current.members
+        return all(member.data_centre for member in members)
+
+    def start(self, name: str) -> None:
+        """Start a host; it knows the seeds and nothing else."""
+        super().start(name)
+        node = self.hosts[name].node
+        if node is not None:
+            node.deployment.seeds = SEEDS
+
+    def wipe(self, name: str) -> None:
+        """Empty a disk; its next start is not a first one."""
+        super().wipe(name)
+        self.hosts[name].settings.voters = ()
+
+    def add_host(self, name: str, data_centre: str) -> None:
+        """Start a host with an empty disk at a new address."""
+        identity = HostIdentity(name, '127.0.0.9', 1, 2, data_centre, 'r', 'i')
+        settings = HostSettings(identity, (), data_folder='x')
+        self.hosts[name] = harness.Host(name, settings)
+        self.start(name)
+
+    def order(self, name: str, entry: DocumentEntry | DrainEntry) -> int:
+        """Give an order at a host; return the number of the call."""
+        self.next_call += 1
+        self.process(self.hosts[name], OrderAsked(self.next_call, entry))
+        return self.next_call
+
+    def put(self, name: str, version: int, content: bytes = b'') -> int:
+        """Give a document at a host; return the number of the call."""
+        return self.order(name, DocumentEntry(version, content))
+
+    def is_accepted(self, name: str, call_id: int) -> bool:
+        """Return whether a host said that an order is committed."""
+        return any(
+            isinstance(output, OrderAnswered)
+            and output.call_id == call_id
+            and output.is_accepted
+            for output in self.hosts[name].outputs
+        )
+
+    def accept(self, name: str, version: int, content: bytes = b'') -> None:
+        """Give a document again and again until it is accepted."""
+        calls: list[int] = []
+
+        def is_done() -> bool:
+            calls.append(self.put(name, version, content))
+            return any(self.is_accepted(name, call) for call in calls)
+
+        self.run_until(is_done)
+
+    def read(self, name: str) -> ReadAnswered | None:
+        """Read at a host; None if no answer comes within a second."""
+        self.next_call += 1
+        call_id = self.next_call
+        self.process(self.hosts[name], ReadAsked(call_id))
+        self.run(1)
+        for output in self.hosts[name].outputs:
+            if isinstance(output, ReadAnswered) and output.call_id == call_id:
+                return None if output.content is None else output
+        return None
+
+    def voter_names(self) -> set[str]:
+        """Return the hosts that vote, as the leader sees them."""
+        leader = self.leader()
+        if leader is None:
+            return set()
+        members = leader.replica.membership.current.members
+        return {member.name for member in members if member.is_voter}
+
+    def _make_machine(self, group: str) -> DeploymentMachine:
+        return DeploymentMachine()
+
+    def _tick(self, node) -> Iterator[Command]:
+        yield from super()._tick(node)
+        yield from systems.recruiting.run_recruiting(node, self.now)
--- /dev/null
+++ b/tests/components/deployment/test_orders.py
@@ -0,0 +1,100 @@
+"""Orders and reads of operators."""
+
+from __future__ import annotations
+
+from testtools import TestCase
+from testtools.matchers import Equals, Is
+
+from snipejunction.components.deployment.messages import DrainEntry
+from tests.components.deployment.harness import SEEDS, ControlCluster
+
+
+class OrdersTest(TestCase):
+    """Orders at any control host."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.cluster = ControlCluster(11)
+
+    def states(self) -> list[tuple[int, bytes]]:
+        return [
+            (
+                host.node.deployment.state.version,
+                host.node.deployment.state.content,
+            )
+            for host in self.cluster.up
+        ]
+
+    def test_accepted_everywhere(self) -> None:
+        """An order at any host is in force at all."""
+        for version, name in enumerate(SEEDS, start=1):
+            self.cluster.accept(name, version, b'%d' % version)
+        self.cluster.run(1)
+        self.assertThat(self.states(), Equals([(3, b'3')] * 3))
+
+    def test_highest_version_holds(self) -> None:
+        """Lower and equal versions are accepted and change nothing."""
+        self.cluster.accept('h1', 5, b'first')
+        self.cluster.accept('h2', 5, b'other')
+        self.cluster.accept('h3', 4, b'older')
+        self.cluster.run(1)
+        self.assertThat(self.states(), Equals([(5, b'first')] * 3))
+
+    def test_race(self) -> None:
+        """Of two documents of one version the same one holds everywhere."""
+        for seed in range(6):
+            cluster = ControlCluster(seed)
+            cluster.put('h1', 9, b'one')
+            cluster.put('h2', 9, b'two')
+            cluster.run(2)
+            held = {host.node.deployment.state.content for host in cluster.up}
+            self.assertThat(len(held), Equals(1))
+            self.assertThat(held <= {b'one', b'two'}, Is(True))
+
+    def test_drains_in_order(self) -> None:
+        """The last order about a data centre holds."""
+        for is_out in (True, False, True):
+            call_id = self.cluster.order('h2', DrainEntry('dc1', is_out))
+            self.cluster.run(1)
+            accepted = self.cluster.is_accepted('h2', call_id)
+            self.assertThat(accepted, Is(True))
+        outs = [host.node.deployment.state.out for host in self.cluster.up]
+        self.assertThat(outs, Equals([{'dc1': True}] * 3))
+
+    def test_power_loss_of_all(self) -> None:
+        """What was accepted outlives a loss of power of all hosts."""
+        for seed in range(6):
+            cluster = ControlCluster(seed)
+            cluster.accept('h2', 3, b'kept')
+            for name in SEEDS:
+                cluster.crash(name)
+            for name in SEEDS:
+                cluster.start(name)
+            cluster.run_until(lambda: cluster.leader() is not None)
+            answer = cluster.read('h1')
+            self.assertThat(answer.content, Equals(b'kept'))
+
+
+class ReadsTest(TestCase):
+    """Reads that are certainly newest."""
+
+    def test_cut_off_leader(self) -> None:
+        """A leader that is cut off answers no read."""
+        cluster = ControlCluster(5)
+        cluster.accept('h1', 1, b'old')
+        leader = cluster.leader().name
+        cluster.isolate(leader)
+        self.assertThat(cluster.read(leader), Is(None))
+        other = next(name for name in SEEDS if name != leader)
+        cluster.accept(other, 2, b'new')
+        self.assertThat(cluster.read(leader), Is(None))
+        cluster.heal()
+        cluster.run(2)
+        self.assertThat(cluster.read(leader).content, Equals(b'new'))
+
+    def test_any_host(self) -> None:
+        """All hosts answer with the newest document."""
+        cluster = ControlCluster(6)
+        cluster.accept('h3', 8, b'eight')
+        for name in SEEDS:
+            self.assertThat(cluster.read(name).version, Equals(8))
--- /dev/null
+++ b/tests/components/deployment/test_recruiting.py
@@ -0,0 +1,134 @@
+"""Control hosts that find each other and replace lost ones."""
+
+from __future__ import annotations
+
+from testtools import TestCase
+from testtools.matchers import Contains, Equals, Not
+
+from snipejunction.components.deployment.systems.addressing import control_near
+from snipejunction.components.deployment.systems.recruiting import is_cut_off
+from tests.components.deployment.harness import SEEDS, ControlCluster
+
+
+class FormingTest(TestCase):
+    """The first start."""
+
+    def test_one_group(self) -> None:
+        """The seeds form one group and learn their data centres."""
+        for seed in range(5):
+            cluster = ControlCluster(seed)
+            self.assertThat(cluster.voter_names(), Equals(set(SEEDS)))
+
+    def test_no_group_without_first_start(self) -> None:
+        """Hosts with empty disks form no group later on."""
+        cluster = ControlCluster(1)
+        for name in SEEDS:
+            cluster.wipe(name)
+        for name in SEEDS:
+            cluster.start(name)
+        cluster.run(20)
+        self.assertThat(cluster.leader(), Equals(None))
+
+
+class ReplacingTest(TestCase):
+    """Disks that are lost and hosts that are replaced."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.cluster = ControlCluster(7)
+
+    def test_wiped_disk(self) -> None:
+        """A host with an empty disk becomes a new voter of its name."""
+        old_id = self.cluster.hosts['h3'].node.consensus.voter_id
+        self.cluster.wipe('h3')
+        self.cluster.start('h3')
+        self.cluster.run(4)
+        members = self.cluster.leader().replica.membership.current.members
+        ids = {member.voter_id for member in members}
+        self.assertThat(ids, Not(Contains(old_id)))
+        self.assertThat(self.cluster.voter_names(), Equals(set(SEEDS)))
+
+    def test_other_address(self) -> None:
+        """A new host takes the place of a lost one of its data centre."""
+        self.cluster.crash('h2')
+        self.cluster.run(1)
+        self.cluster.add_host('h4', 'dc1')
+        self.cluster.run(6)
+        self.assertThat(
+            self.cluster.voter_names(),
+            Equals({'h1', 'h3', 'h4'}),
+        )
+
+    def test_new_one_first(self) -> None:
+        """A planned replacement may come before the old host stops."""
+        self.cluster.add_host('h4', 'dc1')
+        self.cluster.run(3)
+        self.cluster.crash('h2')
+        self.cluster.run(6)
+        self.assertThat(
+            self.cluster.voter_names(),
+            Equals({'h1', 'h3', 'h4'}),
+        )
+
+    def test_lost_leader(self) -> None:
+        """The leader itself can be replaced."""
+        leader = self.cluster.leader()
+        place = leader.settings.identity.data_centre
+        self.cluster.crash(leader.name)
+        self.cluster.add_host('h4', place)
+        self.cluster.run(8)
+        voters = self.cluster.voter_names()
+        self.assertThat(voters, Not(Contains(leader.name)))
+        self.assertThat(voters, Contains('h4'))
+
+    def test_silence_alone_removes_nobody(self) -> None:
+        """A voter without an heir stays, however long it is silent."""
+        self.cluster.isolate('h2')
+        self.cluster.run(60)
+        self.assertThat(self.cluster.voter_names(), Equals(set(SEEDS)))
+
+    def test_acknowledged_survives_wipe_and_minority(self) -> None:
+        """A change outlives the wiped disk of its leader.
+
+        One host missed the change; the host that is left with it must win
+        over the one without.
+        """
+        for seed in range(8):
+            cluster = ControlCluster(seed)
+            leader = cluster.leader().name
+            behind, other = [name for name in SEEDS if name != leader]
+            cluster.isolate(behind)
+            cluster.accept(leader, 5, b'five')
+            cluster.wipe(leader)
+            cluster.crash(other)
+            cluster.heal()
+            cluster.start(leader)
+            cluster.run(5)
+            self.assertThat(cluster.leader(), Equals(None))
+            cluster.start(other)
+            cluster.run_until(lambda: cluster.leader() is not None)
+            self.assertThat(cluster.read(other).content, Equals(b'five'))
+
+
+class CutOffTest(TestCase):
+    """Control hosts that are parted from the others."""
+
+    def test_cut_off(self) -> None:
+        """A host notices that no leader is heard, and that one is again."""
+        cluster = ControlCluster(3)
+        name = next(one for one in SEEDS if one != cluster.leader().name)
+        cluster.isolate(name)
+        cluster.run(4)
+        node = cluster.hosts[name].node
+        self.assertThat(is_cut_off(node, cluster.now), Equals(True))
+        cluster.heal()
+        cluster.run(3)
+        self.assertThat(is_cut_off(node, cluster.now), Equals(False))
+
+    def test_control_nearby(self) -> None:
+        """Searchers are told the control host of their data centre."""
+        cluster = ControlCluster(4)
+        node = cluster.hosts['h1'].node
+        self.assertThat(control_near(node, 'dc0', ()), Equals('127.0.0.1'))
+        self.assertThat(control_near(node, 'dc1', {'h2'}), Equals('127.0.0.1'))
+        self.assertThat(control_near(node, 'dc1', {'h3'}), Equals(None))
