Explain a request from the logs of its hosts; gauges of the present state

snipejunction explain REQUEST-ID FILES prints the lines that name a request and what its host believed of the searchers and control hosts, in order. Each failed attempt and each searcher that stops answering gets a line with the age of what was believed. Metrics hold the present state at each fetch.

--- a/script/pages.py
+++ b/script/pages.py
@@ -17,7 +17,10 @@
 from snipejunction.commands import EventKind, event_catalogue
 from snipejunction.components import all_systems
 from snipejunction.components.control.service_settings import ServiceSettings
+from snipejunction.edge import control_host
 from snipejunction.edge import host as edge_host
+from snipejunction.edge.gateway import gateway_host
+from snipejunction.platform import process
 from snipejunction.host_settings import LeaseTimings
 from snipejunction.schema import checks, host_file, shared
 
@@ -25,7 +28,14 @@
 FAULTS: Final = Path(__file__).resolve().with_name('mutations.json5')
 MEANINGS: Final = Path(__file__).resolve().with_name('meanings.json5')
 # Modules whose import fills the catalogue of events.
-LOADED: Final = (all_systems, edge_host, cli_parser)
+LOADED: Final = (
+    all_systems,
+    edge_host,
+    cli_parser,
+    control_host,
+    gateway_host,
+    process,
+)
 
 EVENTS_HEAD: Final = """# Log events
 
--- a/snipejunction/cli/parser.py
+++ b/snipejunction/cli/parser.py
@@ -12,6 +12,7 @@
 from snipejunction.cli.access import add_access_options
 from snipejunction.cli.check import run_check
 from snipejunction.cli.exit_codes import EXIT_CODES_HELP
+from snipejunction.cli.explain import STANDARD_INPUT, run_explain
 from snipejunction.cli.serve import run_serve
 
 _Commands: TypeAlias = Any
@@ -57,6 +58,19 @@
     check.add_argument('files', nargs='+', metavar='FILE')
     check.add_argument('--json', action='store_true')
     check.set_defaults(run=run_check)
+    explain = commands.add_parser(
+        'explain',
+        help='follow one request through the logs of several hosts',
+    )
+    explain.add_argument('request_id', metavar='REQUEST-ID')
+    explain.add_argument(
+        'files',
+        nargs='*',
+        metavar='FILE',
+        default=[STANDARD_INPUT],
+        help='logs of hosts (default: standard input)',
+    )
+    explain.set_defaults(run=run_explain)
 
 
 def _add_caller_commands(commands: _Commands) -> None:
--- a/snipejunction/components/gateway/const.py
+++ b/snipejunction/components/gateway/const.py
@@ -105,6 +105,11 @@
     'warning',
     'searcher {searcher} of {service} at {address}: {reason}',
 )
+EVENT_ATTEMPT_FAILED: Final = EventKind(
+    949,
+    'info',
+    'request {request}: {searcher} of {service} {fate} after {ms} ms: {detail}',
+)
 EVENT_NO_REPEAT: Final = EventKind(
     948,
     'info',
--- a/snipejunction/components/gateway/learning.py
+++ b/snipejunction/components/gateway/learning.py
@@ -174,6 +174,7 @@
         )
         _add(known, table, record.service)
     known.record = record
+    known.learned_at = now
     if record.cold_left:
         known.cold_until = now + record.cold_left
     return True
--- a/snipejunction/components/gateway/run.py
+++ b/snipejunction/components/gateway/run.py
@@ -10,8 +10,10 @@
 from snipejunction.components.gateway.const import (
     ANSWER_MARGIN_SECONDS,
     DEADLINE_MARGIN_SECONDS,
+    EVENT_ATTEMPT_FAILED,
     EVENT_NO_REPEAT,
     EVENT_REPEATED,
+    EVENT_SEARCHER_SUSPECT,
     HEDGE_MEDIANS,
     MAX_HEDGE_SHARE,
     MAX_REFUSED_SENDS,
@@ -51,6 +53,11 @@
         self.sent_at = now
         self.is_open = True
 
+    @property
+    def is_repeat(self) -> bool:
+        """Return whether the part was sent before."""
+        return self.part.attempts[0] is not self
+
 
 class Part:
     """What one service has to contribute to an answer."""
@@ -191,7 +198,8 @@
             if now >= self._hedge_due(part):
                 part.has_hedged = True
                 late = part.open_attempts[0]
-                late.upstream.note_late(now)
+                if late.upstream.note_late(now):
+                    yield _suspect(late.upstream, 'answers nothing', now)
                 yield from self._repeat(part, 'late part', now)
         self._conclude(now)
 
@@ -209,6 +217,8 @@
         if not outcome.fate.has_not_run:
             part.ran += 1
         self._learn(attempt, outcome, now)
+        if outcome.reply is None or not self._is_good(outcome.reply):
+            yield self._failure_event(attempt, outcome, now)
         if self.answer is not None or part.reply is not None:
             return
         reply = outcome.reply
@@ -220,6 +230,26 @@
                 yield from self._retry(part, outcome, now)
         self._conclude(now)
 
+    def _failure_event(
+        self,
+        attempt: Attempt,
+        outcome: Outcome,
+        now: float,
+    ) -> LogEvent:
+        upstream = attempt.upstream
+        return LogEvent(
+            EVENT_ATTEMPT_FAILED,
+            request=self.request_id,
+            searcher=upstream.searcher_id,
+            service=attempt.part.service,
+            address=upstream.record.address,
+            fate=outcome.fate.value,
+            detail=outcome.detail,
+            ms=round((now - attempt.sent_at) * _MILLISECONDS, 1),
+            news_age=round(now - upstream.learned_at, 1),
+            left_ms=round((self.deadline - now) * _MILLISECONDS),
+        )
+
     def _is_good(self, reply: Reply) -> bool:
         return reply.is_success and bool(reply.signature)
 
@@ -297,6 +327,8 @@
             searcher=part.attempts[-1].upstream.searcher_id,
             second=upstream.searcher_id,
             budget=round(left - 1, 1),
+            news_age=round(now - upstream.learned_at, 1),
+            left_ms=round((self.deadline - now) * _MILLISECONDS),
         )
         yield self._send(part, upstream, now)
 
@@ -390,6 +422,17 @@
         )
 
 
+def _suspect(upstream: Upstream, reason: str, now: float) -> LogEvent:
+    return LogEvent(
+        EVENT_SEARCHER_SUSPECT,
+        searcher=upstream.searcher_id,
+        service=upstream.record.service,
+        address=upstream.record.address,
+        reason=reason,
+        news_age=round(now - upstream.learned_at, 1),
+    )
+
+
 def _cause_of(failures: list[Outcome]) -> str:
     if not failures:
         return 'no answer in time'
--- a/snipejunction/components/gateway/upstreams.py
+++ b/snipejunction/components/gateway/upstreams.py
@@ -20,7 +20,8 @@
     ``slowness`` is the moving average of its time over the usual time of
     the same route, ``failure`` that of its failures; both return to normal
     while nothing is sent. ``stalled_at`` is when an attempt grew late
-    without any answer since. ``silent_by_sender`` says for each control host
+    without any answer since; ``learned_at`` is when the newest news came.
+    ``silent_by_sender`` says for each control host
     that told of it whether it hears nothing of the searcher.
     """
 
@@ -31,6 +32,7 @@
         'cold_until',
         'in_flight',
         'last_cold_send',
+        'learned_at',
         'record',
         'refused_until',
         'silent_by_sender',
@@ -41,6 +43,7 @@
         """Create the state of a searcher that was just learned of."""
         self.record = record
         self.in_flight = 0
+        self.learned_at = now
         self.cold_until = now + record.cold_left
         self.last_cold_send = 0.0
         self.stalled_at: float | None = None
@@ -86,10 +89,12 @@
         """Take a connection that was refused."""
         self.refused_until = now + REFUSED_SECONDS
 
-    def note_late(self, now: float) -> None:
-        """Take an attempt that is late."""
-        if self.stalled_at is None:
-            self.stalled_at = now
+    def note_late(self, now: float) -> bool:
+        """Take an attempt that is late; return whether it is the first."""
+        if self.stalled_at is not None:
+            return False
+        self.stalled_at = now
+        return True
 
     def is_stalled(self, now: float) -> bool:
         """Return whether it answers nothing at present."""
--- a/snipejunction/edge/control_host.py
+++ b/snipejunction/edge/control_host.py
@@ -29,11 +29,6 @@
 from snipejunction.components.registration import (
     systems as registration_systems,
 )
-from snipejunction.components.registration.messages import (
-    SearcherAnnounced,
-    SearcherLeft,
-    SearcherRecord,
-)
 from snipejunction.const import GROUP_DEPLOYMENT
 from snipejunction.core import Core
 from snipejunction.edge import const
@@ -42,6 +37,7 @@
 from snipejunction.edge.event_log import EventLog
 from snipejunction.edge.gateway.host_profile import HostProfile, parse_address
 from snipejunction.edge.gateway.service_metrics import ServiceMetrics
+from snipejunction.edge.gauges import control_gauges
 from snipejunction.edge.keys import PeerKeys
 from snipejunction.edge.peers import Address, PeerTable
 from snipejunction.edge.storage import Storage
@@ -158,14 +154,6 @@
         answer = await self._async_ask(ReadAsked)
         return answer.content if isinstance(answer, ReadAnswered) else None
 
-    def announce(self, searcher: SearcherRecord) -> None:
-        """Take what a searcher says of itself."""
-        self.submit(SearcherAnnounced(searcher))
-
-    def take_leave(self, searcher_id: str) -> None:
-        """Take that a searcher ends."""
-        self.submit(SearcherLeft(searcher_id))
-
     def find_addresses(self, data_centre: str, region: str) -> list[str]:
         """Return where a caller of a data centre connects."""
         now = self._loop.time()
@@ -175,6 +163,14 @@
         """Return the IP number of a control host near a searcher."""
         return control_near(self._node, data_centre, self.peers.connected)
 
+    def metrics_text(self) -> bytes:
+        """Return all metrics, those of the present state included."""
+        for name, (text, amount) in control_gauges(
+            self._node, self._loop.time()
+        ).items():
+            self.metrics.set_gauge(name, text, amount)
+        return self.metrics.text()
+
     def update_seeds(self, seeds: tuple[str, ...]) -> None:
         """Use other control hosts to start from."""
         self._node.deployment.seeds = seeds
--- a/snipejunction/edge/gateway/forwarding.py
+++ b/snipejunction/edge/gateway/forwarding.py
@@ -26,6 +26,7 @@
 from snipejunction.edge.gateway.const import HOP_HEADERS
 from snipejunction.edge.gateway.dialect import Dialect
 from snipejunction.edge.gateway.searcher_pool import SearcherPool, Sending
+from snipejunction.edge.gateway.service_metrics import ServiceMetrics
 
 _MILLISECONDS: Final = 1000
 
@@ -36,13 +37,11 @@
     dialect: Dialect
     table: GatewayTable
     pool: SearcherPool
+    metrics: ServiceMetrics
 
     def log(self, event: LogEvent) -> None:
         """Write an event."""
 
-    def note_answer(self, route: str, status: int, seconds: float) -> None:
-        """Count an answer and the time that it took."""
-
     def run_ended(self, run: ForwardedRequest) -> None:
         """Forget a request whose answer is given."""
 
@@ -106,6 +105,8 @@
     def _execute(self, commands: Iterable[Command]) -> None:
         for command in commands:
             if isinstance(command, SendAttempt):
+                if command.attempt.is_repeat:
+                    self._hooks.metrics.note_repeat()
                 self._send(command)
             elif isinstance(command, LogEvent):
                 self._hooks.log(command)
@@ -152,7 +153,9 @@
         elif answer.retry_after:
             headers = [(b'retry-after', b'%.2f' % answer.retry_after)]
         self._request.respond(answer.status, headers, answer.body)
-        self._hooks.note_answer(self._route.name, answer.status, elapsed)
+        self._hooks.metrics.note_answer(
+            self._route.name, answer.status, elapsed
+        )
         self._log(answer, elapsed)
         self._hooks.run_ended(self)
         self._abandon_later()
@@ -186,7 +189,7 @@
             self._timer.cancel()
             self._timer = None
         elapsed = self._loop.time() - self._request.received_at
-        self._hooks.note_answer(self._route.name, 0, elapsed)
+        self._hooks.metrics.note_answer(self._route.name, 0, elapsed)
         self._hooks.run_ended(self)
         self._abandon_later()
 
--- a/snipejunction/edge/gateway/gateway_host.py
+++ b/snipejunction/edge/gateway/gateway_host.py
@@ -149,9 +149,11 @@
         """Write an event."""
         self._event_log.write(event)
 
-    def note_answer(self, route: str, status: int, seconds: float) -> None:
-        """Count an answer and the time that it took."""
-        self.metrics.note_answer(route, status, seconds)
+    def metrics_text(self) -> bytes:
+        """Return all metrics, those of the present state included."""
+        for name, (text, amount) in self._gauges().items():
+            self.metrics.set_gauge(name, text, amount)
+        return self.metrics.text()
 
     def run_ended(self, run: ForwardedRequest) -> None:
         """Forget a request whose answer is given."""
@@ -173,6 +175,56 @@
         """Close the idle connections to a searcher."""
         self.pool.drop(searcher_id)
 
+    def _gauges(self) -> dict[str, tuple[str, float]]:
+        table = self.table
+        now = self._loop.time()
+        document = table.document
+        hosts = len(table.entries)
+        budgets = [one.left(hosts, now) for one in table.budgets.values()]
+        upstreams = table.upstreams.values()
+        return {
+            'document_version': (
+                'Version of the document in force, 0 without one.',
+                0 if document is None else document.version,
+            ),
+            'deployment_index': ('Index of the deployment.', table.index),
+            'control_streams': (
+                'Streams to control hosts.',
+                len(self.link.peers.connected),
+            ),
+            'entry_hosts': ('Entry hosts that are known.', hosts),
+            'searchers': ('Searchers that are known.', len(upstreams)),
+            'searchers_silent': (
+                'Searchers that no control host hears.',
+                sum(one.is_silent for one in upstreams),
+            ),
+            'searchers_stalled': (
+                'Searchers that answer nothing at present.',
+                sum(one.is_stalled(now) for one in upstreams),
+            ),
+            'attempts_open': (
+                'Requests at searchers.',
+                sum(one.in_flight for one in upstreams),
+            ),
+            'requests_open': ('Requests of callers.', len(self._runs)),
+            'caller_connections': (
+                'Connections of callers.',
+                self.callers.open_connections,
+            ),
+            'searcher_connections': (
+                'Connections to searchers.',
+                self.pool.open_connections,
+            ),
+            'searcher_connections_opened': (
+                'Connections to searchers that were ever opened.',
+                self.pool.opened,
+            ),
+            'repeat_budget_least': (
+                'Repeats that the most used budget has left.',
+                min(budgets, default=0),
+            ),
+        }
+
     def _serve(self, request: CallerRequest) -> None:
         document = self.table.document
         if document is None:
--- a/snipejunction/edge/gateway/service_metrics.py
+++ b/snipejunction/edge/gateway/service_metrics.py
@@ -33,6 +33,7 @@
         '_gauges',
         '_refusals',
         '_registry',
+        '_repeats',
         '_routes',
         '_seconds',
     )
@@ -55,6 +56,11 @@
             ('status',),
             registry=registry,
         )
+        self._repeats = Counter(
+            'snipejunction_repeats',
+            'Parts that were asked for once more.',
+            registry=registry,
+        )
         self._seconds = Histogram(
             'snipejunction_answer_seconds',
             'Time from the whole request to its answer.',
@@ -82,6 +88,10 @@
             self._gauges[name] = gauge
         gauge.set(amount)
 
+    def note_repeat(self) -> None:
+        """Count a part that was asked for once more."""
+        self._repeats.inc()
+
     def text(self) -> bytes:
         """Return all metrics."""
         return bytes(generate_latest(self._registry))
--- a/snipejunction/platform/calls.py
+++ b/snipejunction/platform/calls.py
@@ -11,6 +11,10 @@
     DocumentEntry,
     DrainEntry,
 )
+from snipejunction.components.registration.messages import (
+    SearcherAnnounced,
+    SearcherLeft,
+)
 from snipejunction.edge.control_host import ControlHost
 from snipejunction.edge.gateway.caller_connection import CallerRequest
 from snipejunction.edge.gateway.forwarding import plain_headers
@@ -86,7 +90,7 @@
         except SettingsError as error:
             respond_json(request, _BAD_REQUEST, {'error': str(error)})
             return
-        self._host.announce(searcher)
+        self._host.submit(SearcherAnnounced(searcher))
         if self._host.is_cut_off:
             # The searcher shall tell a host that others can hear as well.
             respond_status(request, _UNAVAILABLE)
@@ -100,7 +104,7 @@
         respond_json(request, _OK, answer)
 
     def _leave(self, request: CallerRequest, searcher_id: str) -> None:
-        self._host.take_leave(unquote(searcher_id))
+        self._host.submit(SearcherLeft(unquote(searcher_id)))
         is_heard = not self._host.is_cut_off
         respond_status(request, _OK if is_heard else _UNAVAILABLE)
 
--- a/snipejunction/platform/process.py
+++ b/snipejunction/platform/process.py
@@ -24,7 +24,6 @@
 from snipejunction.edge.gateway.forwarding import plain_headers
 from snipejunction.edge.gateway.host_profile import HostProfile
 from snipejunction.edge.gateway.http_server import HttpServer
-from snipejunction.edge.gateway.service_metrics import ServiceMetrics
 from snipejunction.errors import SettingsError, StorageError
 from snipejunction.platform import names
 from snipejunction.platform.settings import load_profile
@@ -43,8 +42,6 @@
 class Host(Protocol):
     """What a process needs of the host that it runs."""
 
-    metrics: ServiceMetrics
-
     @property
     def failure(self) -> StorageError | None:
         """Return why the host has to end, None while it is sound."""
@@ -52,6 +49,9 @@
     async def async_stop(self) -> None:
         """Stop as planned."""
 
+    def metrics_text(self) -> bytes:
+        """Return all metrics in the text format."""
+
     def update_seeds(self, seeds: tuple[str, ...]) -> None:
         """Use other control hosts to start from."""
 
@@ -150,7 +150,7 @@
 
 
 def _show_metrics(host: Host, request: CallerRequest) -> None:
-    request.respond(_OK, plain_headers(_TEXT), host.metrics.text())
+    request.respond(_OK, plain_headers(_TEXT), host.metrics_text())
 
 
 RunRole: TypeAlias = Callable[[Process], Coroutine[Any, Any, int]]
