Let entry hosts tell callers which addresses to use

Cause: each data centre had one host that answered address questions. After a loss of power a host whose seeds did not listen yet asked again only after one second.

Change: control hosts tell entry hosts of all entry hosts that take work, and entry hosts answer; a host without any stream to a control host looks for one every 0.2 s.

--- a/snipejunction/components/deployment/const.py
+++ b/snipejunction/components/deployment/const.py
@@ -9,6 +9,8 @@
 # Time between two presences of a host, in seconds: three of them fit into
 # the time within which a change has to be in force.
 PRESENCE_SECONDS: Final = 1.0
+# The same while a host has no stream to any control host, in seconds.
+SEARCH_SECONDS: Final = 0.2
 # A control host that heard no leader for this long counts as cut off, in
 # seconds: longer than an election.
 CUT_OFF_SECONDS: Final = 2.0
@@ -20,12 +22,6 @@
 # A presence from another data centre gets the document only if it lags this
 # often in a row, so that the control host nearby sends it first.
 LAGS_BEFORE_FEED: Final = 2
-# An entry host that said nothing for this long is not named to callers, in
-# seconds: three presences.
-STALE_ENTRY_SECONDS: Final = 3.0
-# Addresses in one answer to a caller; the platform reads no more.
-MAX_ADDRESSES: Final = 64
-
 EVENT_DOCUMENT_ACCEPTED: Final = EventKind(
     901,
     'info',
--- a/snipejunction/components/deployment/messages.py
+++ b/snipejunction/components/deployment/messages.py
@@ -141,14 +141,38 @@
         self.index = index
 
 
+@wire(152)
+class EntryRecord(Record):
+    """An entry host that takes work."""
+
+    __slots__ = ('address', 'data_centre', 'name', 'region')
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        data_centre: str,
+        region: str,
+    ) -> None:
+        """Create a record; ``address`` is where callers connect."""
+        self.name = name
+        self.address = address
+        self.data_centre = data_centre
+        self.region = region
+
+
 @wire(148)
 class HostsFed(PeerMessage):
     """The control hosts and the entry hosts that the sender knows."""
 
     __slots__ = ('controls', 'entries')
 
-    def __init__(self, controls: list[str], entries: list[str]) -> None:
-        """Create a message to an entry host; both are lists of names."""
+    def __init__(
+        self,
+        controls: list[str],
+        entries: list[EntryRecord],
+    ) -> None:
+        """Create a message to an entry host; ``controls`` are names."""
         self.controls = controls
         self.entries = entries
 
--- a/snipejunction/components/deployment/systems/feeding.py
+++ b/snipejunction/components/deployment/systems/feeding.py
@@ -44,7 +44,7 @@
 
 
 def _hosts(node: Node) -> HostsFed:
-    return HostsFed(known_controls(node), node.deployment.entry_names())
+    return HostsFed(known_controls(node), node.deployment.entry_records())
 
 
 def _feed(name: str, entry: ConnectedEntry, node: Node) -> Iterator[Command]:
--- a/snipejunction/components/deployment/tables.py
+++ b/snipejunction/components/deployment/tables.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from snipejunction.components.deployment.messages import EntryPresence
+from snipejunction.components.deployment.messages import (
+    EntryPresence,
+    EntryRecord,
+)
 from snipejunction.timers import NEVER
 
 
@@ -85,10 +88,15 @@
         self.reads[self._next_token] = (call_id, origin)
         return self._next_token
 
-    def entry_names(self) -> list[str]:
+    def entry_records(self) -> list[EntryRecord]:
         """Return the entry hosts that take new work, by name."""
-        return sorted(
-            name
-            for name, entry in self.entries.items()
+        return [
+            EntryRecord(
+                name,
+                entry.presence.address,
+                entry.presence.data_centre,
+                entry.presence.region,
+            )
+            for name, entry in sorted(self.entries.items())
             if entry.presence.takes_work
-        )
+        ]
--- a/snipejunction/components/gateway/const.py
+++ b/snipejunction/components/gateway/const.py
@@ -61,6 +61,8 @@
 MAX_REFUSED_SENDS: Final = 2
 # Time that a searcher may go on with work that nobody waits for, in seconds.
 ABANDON_SECONDS: Final = 0.3
+# Addresses in one answer to a caller, which reads no more.
+MAX_ADDRESSES: Final = 64
 
 EVENT_DOCUMENT_TAKEN: Final = EventKind(
     940,
--- a/snipejunction/components/gateway/tables.py
+++ b/snipejunction/components/gateway/tables.py
@@ -4,6 +4,7 @@
 
 from random import Random
 
+from snipejunction.components.deployment.messages import EntryRecord
 from snipejunction.components.gateway.budget import RepeatBudget, RepeatLimits
 from snipejunction.components.gateway.const import HEDGE_QUANTILE
 from snipejunction.components.gateway.document import Document, Service
@@ -62,7 +63,7 @@
         self.index = 0
         self.out: dict[str, bool] = {}
         self.controls_by_sender: dict[str, list[str]] = {}
-        self.entries_by_sender: dict[str, list[str]] = {}
+        self.entries_by_sender: dict[str, list[EntryRecord]] = {}
         self.upstreams: dict[str, Upstream] = {}
         self.upstreams_by_service: dict[str, dict[str, Upstream]] = {}
         self.budgets: dict[str, RepeatBudget] = {}
@@ -75,8 +76,17 @@
 
     @property
     def entries(self) -> set[str]:
-        """Return the entry hosts that any control host knows."""
-        return {self.name}.union(*self.entries_by_sender.values())
+        """Return the names of all entry hosts that take work."""
+        return {self.name, *self.entry_records}
+
+    @property
+    def entry_records(self) -> dict[str, EntryRecord]:
+        """Return the entry hosts that any control host names."""
+        return {
+            record.name: record
+            for records in self.entries_by_sender.values()
+            for record in records
+        }
 
     def budget(self, service: str) -> RepeatBudget:
         """Return the budget of a service."""
--- a/snipejunction/edge/control_host.py
+++ b/snipejunction/edge/control_host.py
@@ -23,7 +23,6 @@
 )
 from snipejunction.components.deployment.systems.addressing import (
     control_near,
-    find_addresses,
 )
 from snipejunction.components.deployment.systems.recruiting import is_cut_off
 from snipejunction.components.registration import (
@@ -154,11 +153,6 @@
         answer = await self._async_ask(ReadAsked)
         return answer.content if isinstance(answer, ReadAnswered) else None
 
-    def find_addresses(self, data_centre: str, region: str) -> list[str]:
-        """Return where a caller of a data centre connects."""
-        now = self._loop.time()
-        return find_addresses(self._node, data_centre, region, now)
-
     def control_near(self, data_centre: str) -> str | None:
         """Return the IP number of a control host near a searcher."""
         return control_near(self._node, data_centre, self.peers.connected)
--- a/snipejunction/edge/gateway/control_link.py
+++ b/snipejunction/edge/gateway/control_link.py
@@ -8,7 +8,10 @@
 from typing import Final, Protocol
 
 from snipejunction.commands import Command, LogEvent
-from snipejunction.components.deployment.const import PRESENCE_SECONDS
+from snipejunction.components.deployment.const import (
+    PRESENCE_SECONDS,
+    SEARCH_SECONDS,
+)
 from snipejunction.components.deployment.messages import (
     DeploymentFed,
     EntryPresence,
@@ -181,7 +184,8 @@
 
     def _keep_announcing(self) -> None:
         self.send_presence()
+        is_found = bool(self.peers.connected)
         self._timer = self._loop.call_later(
-            PRESENCE_SECONDS,
+            PRESENCE_SECONDS if is_found else SEARCH_SECONDS,
             self._keep_announcing,
         )
--- /dev/null
+++ b/snipejunction/platform/answers.py
@@ -0,0 +1,22 @@
+"""Answers to the platform's calls."""
+
+from __future__ import annotations
+
+import json
+from typing import Final
+
+from snipejunction.edge.gateway.caller_connection import CallerRequest
+from snipejunction.edge.gateway.forwarding import plain_headers
+
+_JSON: Final = b'application/json'
+
+
+def respond_json(request: CallerRequest, status: int, table: object) -> None:
+    """Answer a call with a JSON body."""
+    body = json.dumps(table).encode()
+    request.respond(status, plain_headers(_JSON), body)
+
+
+def respond_status(request: CallerRequest, status: int) -> None:
+    """Answer a call without anything to say."""
+    request.respond(status, [], b'')
--- a/snipejunction/platform/calls.py
+++ b/snipejunction/platform/calls.py
@@ -1,11 +1,10 @@
-"""The platform's calls: what each asks of a host, and its answer."""
+"""Calls of operators and searchers to control hosts."""
 
 from __future__ import annotations
 
 import asyncio
-import json
 from typing import Final
-from urllib.parse import parse_qs, unquote
+from urllib.parse import unquote
 
 from snipejunction.components.deployment.messages import (
     DocumentEntry,
@@ -22,11 +21,9 @@
 from snipejunction.errors import SettingsError
 from snipejunction.platform import names
 from snipejunction.platform.announcements import read_announcement
+from snipejunction.platform.answers import respond_json, respond_status
 from snipejunction.platform.documents import read_document
 
-# Time that a caller keeps an answer, in seconds: some keep it three times
-# as long, which is about how long a stopping host goes on accepting.
-_KEEP_SECONDS: Final = 2.0
 _OK: Final = 200
 _BAD_REQUEST: Final = 400
 _NOT_FOUND: Final = 404
@@ -36,19 +33,8 @@
 _POST: Final = b'POST'
 
 
-def respond_json(request: CallerRequest, status: int, table: object) -> None:
-    """Answer a call with a JSON body."""
-    body = json.dumps(table).encode()
-    request.respond(status, plain_headers(_JSON), body)
-
-
-def respond_status(request: CallerRequest, status: int) -> None:
-    """Answer a call without anything to say."""
-    request.respond(status, [], b'')
-
-
 class ControlCalls:
-    """Calls of operators, searchers and callers to a control host."""
+    """Calls of operators and searchers to a control host."""
 
     def __init__(self, host: ControlHost, profile: HostProfile) -> None:
         """Create the calls of a host."""
@@ -59,31 +45,14 @@
 
     def take(self, request: CallerRequest) -> None:
         """Answer any call, at once or later."""
-        path, _, query = request.target.decode('latin-1').partition('?')
-        if path == names.PATH_RESOLVE and request.method == _GET:
-            self._resolve(request, query)
-        elif path.startswith(names.PATH_ANNOUNCE):
+        path = request.target.decode('latin-1').partition('?')[0]
+        if path.startswith(names.PATH_ANNOUNCE):
             self._announce(request, path.removeprefix(names.PATH_ANNOUNCE))
         elif path.startswith(names.PATH_LEAVE):
             self._leave(request, path.removeprefix(names.PATH_LEAVE))
         else:
             self._start(self._async_order(request, path))
 
-    def _resolve(self, request: CallerRequest, query: str) -> None:
-        wanted = parse_qs(query)
-        addresses = self._host.find_addresses(
-            wanted.get('zone', [''])[0],
-            wanted.get('region', [''])[0],
-        )
-        if not addresses:
-            respond_status(request, _UNAVAILABLE)
-            return
-        answer = {
-            'addrs': addresses,
-            'ttl_s': min(_KEEP_SECONDS, self._profile.ttl_seconds),
-        }
-        respond_json(request, _OK, answer)
-
     def _announce(self, request: CallerRequest, searcher_id: str) -> None:
         try:
             searcher = read_announcement(unquote(searcher_id), request.body)
--- a/snipejunction/platform/control.py
+++ b/snipejunction/platform/control.py
@@ -1,4 +1,4 @@
-"""The process that keeps the deployment and answers for addresses."""
+"""The process that keeps the deployment and hears the searchers."""
 
 from __future__ import annotations
 
@@ -29,11 +29,6 @@
         await stack.enter_async_context(host)
         calls = ControlCalls(host, profile)
         await process.async_listen(profile.addresses.control, calls.take, stack)
-        await process.async_listen(
-            profile.addresses.directory,
-            calls.take,
-            stack,
-        )
         return await process.async_serve(host, stack)
     return 0
 
--- a/snipejunction/platform/entry.py
+++ b/snipejunction/platform/entry.py
@@ -6,17 +6,24 @@
 from contextlib import AsyncExitStack
 from functools import partial
 from typing import Final
+from urllib.parse import parse_qs
 
+from snipejunction.components.gateway.addressing import find_addresses
 from snipejunction.edge.gateway.caller_connection import CallerRequest
 from snipejunction.edge.gateway.gateway_host import GatewayHost
 from snipejunction.edge.keys import PeerKeys
 from snipejunction.platform import names
+from snipejunction.platform.answers import respond_json, respond_status
 from snipejunction.platform.documents import read_document
 from snipejunction.platform.process import PEER_KEY, Process, run
 from snipejunction.platform.settings import ROLE_ENTRY
 
 _SEED_BITS: Final = 64
 _OK: Final = 200
+_NOT_FOUND: Final = 404
+# Time that a caller keeps an answer, in seconds: some keep it three times
+# as long, which is about how long a stopping host goes on accepting.
+_KEEP_SECONDS: Final = 2.0
 _UNAVAILABLE: Final = 503
 
 
@@ -36,6 +43,11 @@
         address = process.profile.addresses.ready
         show = partial(_show_readiness, host)
         await process.async_listen(address, show, stack)
+        await process.async_listen(
+            process.profile.addresses.directory,
+            partial(_tell_addresses, host),
+            stack,
+        )
         return await process.async_serve(host, stack)
     return 0
 
@@ -45,5 +57,23 @@
     request.respond(status, [], b'')
 
 
+def _tell_addresses(host: GatewayHost, request: CallerRequest) -> None:
+    path, _, query = request.target.decode('latin-1').partition('?')
+    if path != names.PATH_RESOLVE or request.method != b'GET':
+        respond_status(request, _NOT_FOUND)
+        return
+    wanted = parse_qs(query)
+    addresses = find_addresses(
+        host.table,
+        wanted.get('zone', [''])[0],
+        wanted.get('region', [''])[0],
+    )
+    if addresses:
+        answer = {'addrs': addresses, 'ttl_s': _KEEP_SECONDS}
+        respond_json(request, _OK, answer)
+    else:
+        respond_status(request, _UNAVAILABLE)
+
+
 if __name__ == '__main__':
     run(ROLE_ENTRY, async_run_entry)
--- a/tests/components/gateway/stage.py
+++ b/tests/components/gateway/stage.py
@@ -5,7 +5,11 @@
 from random import Random
 from types import MappingProxyType
 
-from snipejunction.components.deployment.messages import DeploymentFed
+from snipejunction.components.deployment.messages import (
+    DeploymentFed,
+    EntryRecord,
+    HostsFed,
+)
 from snipejunction.components.gateway.budget import RepeatLimits
 from snipejunction.components.gateway.document import (
     CallerLimits,
@@ -16,6 +20,7 @@
 )
 from snipejunction.components.gateway.learning import (
     take_deployment,
+    take_hosts,
     take_searchers,
 )
 from snipejunction.components.gateway.tables import GatewayTable
@@ -95,3 +100,11 @@
     news = SearcherNews(list(records))
     news.sender = sender
     list(take_searchers(news, table, now))
+
+
+def name_entries(table: GatewayTable, names: list[str]) -> None:
+    """Tell a host of entry hosts in its own data centre."""
+    records = [EntryRecord(name, name, 'near', 'one') for name in names]
+    fed = HostsFed(['c1'], records)
+    fed.sender = 'c1'
+    take_hosts(fed, table)
--- /dev/null
+++ b/tests/components/gateway/test_addressing.py
@@ -0,0 +1,64 @@
+"""Addresses that callers are told to use."""
+
+from __future__ import annotations
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from snipejunction.components.deployment.messages import (
+    EntryRecord,
+    HostsFed,
+)
+from snipejunction.components.gateway.addressing import find_addresses
+from snipejunction.components.gateway.learning import lose_control, take_hosts
+from tests.components.gateway.stage import make_table
+
+
+class AddressingTest(TestCase):
+    """Entry hosts of several data centres, told by two control hosts."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.table = make_table()
+        self.tell('c1', ('a', 'near', 'one'), ('b', 'far', 'two'))
+        self.tell('c2', ('c', 'near', 'one'))
+
+    def tell(self, sender: str, *entries: tuple[str, str, str]) -> None:
+        records = [
+            EntryRecord(name, f'{name}:80', place, region)
+            for name, place, region in entries
+        ]
+        fed = HostsFed([sender], records)
+        fed.sender = sender
+        take_hosts(fed, self.table)
+
+    def found(self, data_centre: str, region: str) -> list[str]:
+        return find_addresses(self.table, data_centre, region)
+
+    def test_same_data_centre(self) -> None:
+        """Hosts of the caller's data centre that any control host knows."""
+        self.assertThat(self.found('near', 'one'), Equals(['a:80', 'c:80']))
+
+    def test_same_region(self) -> None:
+        """Without any there, hosts of the region; else all hosts."""
+        self.assertThat(self.found('new', 'two'), Equals(['b:80']))
+        self.assertThat(
+            self.found('new', 'new'),
+            Equals(['a:80', 'b:80', 'c:80']),
+        )
+
+    def test_lost_control_host(self) -> None:
+        """Hosts that only a lost control host named are not told."""
+        lose_control('c1', self.table)
+        self.assertThat(self.found('near', 'one'), Equals(['c:80']))
+
+    def test_last_control_host(self) -> None:
+        """What the last control host said holds on without it."""
+        lose_control('c1', self.table)
+        lose_control('c2', self.table)
+        self.assertThat(self.found('near', 'one'), Equals(['c:80']))
+
+    def test_stopping_host(self) -> None:
+        """A host that stops is named no more."""
+        self.tell('c2')
+        self.assertThat(self.found('near', 'one'), Equals(['a:80']))
--- a/tests/components/gateway/test_choosing.py
+++ b/tests/components/gateway/test_choosing.py
@@ -13,6 +13,7 @@
     make_record,
     make_route,
     make_table,
+    name_entries,
     tell,
 )
 
@@ -87,7 +88,7 @@
         for name in self.names:
             table = make_table(name)
             install(table, self.route)
-            table.entries_by_sender['c1'] = self.names
+            name_entries(table, self.names)
             tell(table, make_record('a', cold=3))
             for tick in range(100):
                 now = 1 + tick / 100
--- a/tests/components/gateway/test_run.py
+++ b/tests/components/gateway/test_run.py
@@ -13,6 +13,7 @@
     make_record,
     make_route,
     make_table,
+    name_entries,
     tell,
 )
 
@@ -215,9 +216,7 @@
     def test_share_of_each_host(self) -> None:
         """All hosts together keep the limits."""
         table = make_table()
-        table.entries_by_sender['c1'] = [
-            f'10.0.0.{one}:7001' for one in range(1, 11)
-        ]
+        name_entries(table, [f'10.0.0.{one}:7001' for one in range(1, 11)])
         budget = table.budget('s')
         for _ in range(100):
             budget.note_request(10)
