Test the HTTP edge against searchers that cheat and callers that err

A reset of an unframed answer is brought about with a linger of 0, for an abort alone ends regularly.

--- /dev/null
+++ b/tests/edge/gateway/test_searcher_pool.py
@@ -0,0 +1,275 @@
+"""Connections to searchers that cheat."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+
+from testtools import TestCase
+from testtools.matchers import Equals, Is
+
+from snipejunction.components.gateway.replies import Fate, Outcome
+from snipejunction.components.gateway.upstreams import Upstream
+from snipejunction.edge.gateway.searcher_pool import SearcherPool, Sending
+from tests.components.gateway.stage import make_record
+from tests.edge.gateway.scripted import (
+    DIALECT,
+    ScriptedSearcher,
+    Visit,
+    answer,
+    in_loop,
+)
+
+
+async def async_answer(visit: Visit) -> None:
+    """Answer as a sound searcher does."""
+    visit.writer.write(answer(visit.request_id))
+
+
+async def async_announced_close(visit: Visit) -> None:
+    """Behave as the test of this name says."""
+    content = answer(visit.request_id, b'', '200 OK', 'Connection: close')
+    visit.writer.write(content)
+
+
+async def async_short_idle_time(visit: Visit) -> None:
+    """Behave as the test of this name says."""
+    content = answer(
+        visit.request_id,
+        b'',
+        '200 OK',
+        ('Keep-Alive: timeout=0',),
+    )
+    visit.writer.write(content)
+
+
+async def async_not_run(visit: Visit) -> None:
+    """Behave as the test of this name says."""
+    extra = () if visit.request_id == 'r2' else ('X-Not-Run: 1',)
+    content = answer(visit.request_id, b'', '503 Busy', extra)
+    visit.writer.write(content)
+
+
+async def async_misdirected(visit: Visit) -> None:
+    """Behave as the test of this name says."""
+    content = answer(visit.request_id, b'', '421 Misdirected')
+    visit.writer.write(content)
+
+
+async def async_extra_answer(visit: Visit) -> None:
+    """Behave as the test of this name says."""
+    content = answer(visit.request_id)
+    visit.writer.write(content)
+    visit.writer.write(answer(visit.request_id, b'again'))
+
+
+async def async_late_answer_to_another(visit: Visit) -> None:
+    """Behave as the test of this name says."""
+    visit.writer.write(answer('r0', b'wrong'))
+    visit.writer.write(answer(visit.request_id))
+
+
+async def async_cut_body(visit: Visit) -> None:
+    """Behave as the test of this name says."""
+    visit.writer.write(answer(visit.request_id)[:-2])
+    await visit.writer.drain()
+    visit.writer.close()
+
+
+async def async_garbage(visit: Visit) -> None:
+    """Behave as the test of this name says."""
+    visit.writer.write(b'\x00\x01 what is this\r\n\r\n')
+
+
+async def async_unframed(visit: Visit) -> None:
+    """Behave as the test of this name says."""
+    head = 'HTTP/1.1 200 OK\r\nX-Signature: sig\r\n\r\n'
+    visit.writer.write(head.encode())
+    visit.writer.write(b'whole')
+    await visit.writer.drain()
+    visit.writer.close()
+
+
+async def async_unframed_and_reset(visit: Visit) -> None:
+    """Behave as the test of this name says."""
+    head = 'HTTP/1.1 200 OK\r\nX-Signature: sig\r\n\r\n'
+    visit.writer.write(head.encode())
+    visit.writer.write(b'half')
+    await visit.writer.drain()
+    visit.reset()
+
+
+async def async_silent(visit: Visit) -> None:
+    """Behave as the test of this name says."""
+    await visit.reader.read()
+    raise ConnectionResetError
+
+
+class Caller:
+    """Sends requests to one searcher, one after the other."""
+
+    def __init__(self, address: str) -> None:
+        self.loop = asyncio.get_running_loop()
+        record = make_record('i-1')
+        record.address = address
+        self.upstream = Upstream(record, 0)
+        self.pool = SearcherPool(DIALECT, self.loop)
+        self.last: Sending | None = None
+
+    def send(self, request_id: str = 'r1') -> asyncio.Future[Outcome]:
+        future: asyncio.Future[Outcome] = self.loop.create_future()
+        content = f'GET /p HTTP/1.1\r\nX-Id: {request_id}\r\n\r\n'.encode()
+        self.last = Sending(content, request_id.encode(), future.set_result)
+        self.pool.send(self.upstream, self.last)
+        return future
+
+
+class PoolCase(TestCase):
+    """A pool and a searcher with a script."""
+
+    async def async_open(self, stack: AsyncExitStack, script) -> Caller:
+        searcher = ScriptedSearcher(script)
+        self.searcher = await stack.enter_async_context(searcher)
+        caller = Caller(searcher.address)
+        stack.push_async_callback(caller.pool.async_close)
+        return caller
+
+
+class SoundSearcherTest(PoolCase):
+    """Searchers that keep to the protocol."""
+
+    @in_loop
+    async def test_reuse(self) -> None:
+        """One connection serves one request after the other."""
+        async with AsyncExitStack() as stack:
+            caller = await self.async_open(stack, async_answer)
+            for number in range(3):
+                outcome = await caller.send(f'r{number}')
+                self.assertThat(outcome.reply.body, Equals(b'body'))
+                self.assertThat(outcome.reply.signature, Equals('sig'))
+            self.assertThat(self.searcher.connections, Equals(1))
+
+    @in_loop
+    async def test_announced_close(self) -> None:
+        """A connection that the searcher will close is not used again."""
+        async with AsyncExitStack() as stack:
+            caller = await self.async_open(stack, async_announced_close)
+            await caller.send()
+            await caller.send()
+            self.assertThat(self.searcher.connections, Equals(2))
+
+    @in_loop
+    async def test_short_idle_time(self) -> None:
+        """A stated idle time of a second leaves no safe time for reuse."""
+        async with AsyncExitStack() as stack:
+            caller = await self.async_open(stack, async_short_idle_time)
+            await caller.send()
+            await caller.send()
+            self.assertThat(self.searcher.connections, Equals(2))
+
+    @in_loop
+    async def test_not_run(self) -> None:
+        """Only the stated header proves that a request did not run."""
+        async with AsyncExitStack() as stack:
+            caller = await self.async_open(stack, async_not_run)
+            shed = await caller.send('r1')
+            failed = await caller.send('r2')
+            self.assertThat(shed.fate, Is(Fate.SHED))
+            self.assertThat(failed.fate, Is(Fate.ANSWERED))
+            self.assertThat(failed.reply.status, Equals(503))
+
+    @in_loop
+    async def test_misdirected(self) -> None:
+        """Another searcher at the address has not run the request."""
+        async with AsyncExitStack() as stack:
+            caller = await self.async_open(stack, async_misdirected)
+            outcome = await caller.send()
+            self.assertThat(outcome.fate, Is(Fate.MISDIRECTED))
+
+
+class CheatingSearcherTest(PoolCase):
+    """Searchers that send what belongs to nobody."""
+
+    @in_loop
+    async def test_extra_answer(self) -> None:
+        """A second answer right after the first ends the connection."""
+        async with AsyncExitStack() as stack:
+            caller = await self.async_open(stack, async_extra_answer)
+            first = await caller.send('r1')
+            second = await caller.send('r2')
+            self.assertThat(first.reply.body, Equals(b'body'))
+            self.assertThat(second.reply.body, Equals(b'body'))
+            self.assertThat(self.searcher.connections, Equals(2))
+
+    @in_loop
+    async def test_late_answer_to_another(self) -> None:
+        """An answer with another id is dropped; the right one follows."""
+        async with AsyncExitStack() as stack:
+            caller = await self.async_open(stack, async_late_answer_to_another)
+            outcome = await caller.send()
+            self.assertThat(outcome.reply.body, Equals(b'body'))
+
+    @in_loop
+    async def test_cut_body(self) -> None:
+        """A body that ends early is no answer; the request may have run."""
+        async with AsyncExitStack() as stack:
+            caller = await self.async_open(stack, async_cut_body)
+            outcome = await caller.send()
+            self.assertThat(outcome.fate, Is(Fate.LOST))
+
+    @in_loop
+    async def test_garbage(self) -> None:
+        """Bytes that are no answer end the connection."""
+        async with AsyncExitStack() as stack:
+            caller = await self.async_open(stack, async_garbage)
+            outcome = await caller.send()
+            self.assertThat(outcome.fate, Is(Fate.LOST))
+
+    @in_loop
+    async def test_unframed(self) -> None:
+        """A body without a length ends with its connection."""
+        async with AsyncExitStack() as stack:
+            caller = await self.async_open(stack, async_unframed)
+            outcome = await caller.send()
+            self.assertThat(outcome.reply.body, Equals(b'whole'))
+
+    @in_loop
+    async def test_unframed_and_reset(self) -> None:
+        """A body without a length is not whole if it ends by a reset."""
+        async with AsyncExitStack() as stack:
+            caller = await self.async_open(stack, async_unframed_and_reset)
+            outcome = await caller.send()
+            self.assertThat(outcome.fate, Is(Fate.LOST))
+
+    @in_loop
+    async def test_silent(self) -> None:
+        """A request that is given up closes its connection."""
+        async with AsyncExitStack() as stack:
+            caller = await self.async_open(stack, async_silent)
+            future = caller.send()
+            while not self.searcher.visits:
+                await asyncio.sleep(0)
+            caller.last.cancel('too late')
+            outcome = await future
+            self.assertThat(outcome.fate, Is(Fate.LOST))
+            while not self.searcher.closed:
+                await asyncio.sleep(0)
+
+    @in_loop
+    async def test_refused(self) -> None:
+        """A port without a listener proves that nothing ran."""
+        async with AsyncExitStack() as stack:
+            caller = await self.async_open(stack, async_answer)
+            caller.upstream.record.address = '127.0.0.1:1'
+            outcome = await caller.send()
+            self.assertThat(outcome.fate, Is(Fate.REFUSED))
+
+    @in_loop
+    async def test_given_up_before_it_was_sent(self) -> None:
+        """A request without a connection yet has not run."""
+        async with AsyncExitStack() as stack:
+            caller = await self.async_open(stack, async_answer)
+            future = caller.send()
+            caller.last.cancel('not needed')
+            self.assertThat((await future).fate, Is(Fate.UNSENT))
+            self.assertThat(self.searcher.visits, Equals([]))
