Go on to the next searcher without budget where none was reached

Each refused connection took from the budget for repeats, which was used up by lost answers, so 33 of 1034 single requests were refused with sound searchers at hand: 'explain' shows two refused connections, then 'no budget'.

Change: a send that reached no searcher is not counted; refusals that arrive stay bounded. A searcher that goes on refusing is left alone for longer.

--- a/snipejunction/components/gateway/const.py
+++ b/snipejunction/components/gateway/const.py
@@ -43,8 +43,9 @@
 # Searchers whose failures exceed this share are chosen last.
 MAX_FAILURE_SHARE: Final = 0.3
 # Time that a searcher is left alone after it refused a connection, in
-# seconds.
+# seconds; it doubles with each further one up to the longest.
 REFUSED_SECONDS: Final = 0.5
+MAX_REFUSED_SECONDS: Final = 4.0
 # Requests a second that the one host in charge sends to a cold searcher.
 # Two hosts may believe to be in charge while the list of hosts changes.
 COLD_RATE: Final = 2.0
@@ -57,8 +58,11 @@
 # A host with a document counts as prepared after this time, however few
 # searchers it knows, in seconds: some services may have none.
 PREPARE_SECONDS: Final = 3.0
-# Sends of one part that no searcher ran, beyond the attempts of its route.
-MAX_REFUSED_SENDS: Final = 2
+# Searchers that may turn one part away, beyond the attempts of its route.
+MAX_REFUSED_ARRIVALS: Final = 2
+# Sends of one part in all: a service may have more dead addresses than it is
+# worth to try.
+MAX_SENDS: Final = 10
 # Time that a searcher may go on with work that nobody waits for, in seconds.
 ABANDON_SECONDS: Final = 0.3
 # Addresses in one answer to a caller, which reads no more.
--- a/snipejunction/components/gateway/replies.py
+++ b/snipejunction/components/gateway/replies.py
@@ -59,6 +59,11 @@
         """Return whether the request certainly did not run."""
         return self not in {Fate.ANSWERED, Fate.LOST}
 
+    @property
+    def has_arrived(self) -> bool:
+        """Return whether the request reached a searcher, or may have."""
+        return self not in {Fate.UNSENT, Fate.REFUSED}
+
 
 class Outcome(Record):
     """How an attempt ended; ``reply`` is there if it was answered."""
--- a/snipejunction/components/gateway/run.py
+++ b/snipejunction/components/gateway/run.py
@@ -16,7 +16,8 @@
     EVENT_SEARCHER_SUSPECT,
     HEDGE_MEDIANS,
     MAX_HEDGE_SHARE,
-    MAX_REFUSED_SENDS,
+    MAX_REFUSED_ARRIVALS,
+    MAX_SENDS,
     MIN_HEDGE_SECONDS,
     RETRY_AFTER_SECONDS,
 )
@@ -63,6 +64,7 @@
     """What one service has to contribute to an answer."""
 
     __slots__ = (
+        'arrived',
         'attempts',
         'failure',
         'has_hedged',
@@ -78,8 +80,10 @@
         self.reply: Reply | None = None
         self.failure: Outcome | None = None
         self.has_hedged = False
-        # Searchers at which it ran or may have run.
+        # Searchers at which it ran or may have run, and those that it
+        # reached or may have reached.
         self.ran = 0
+        self.arrived = 0
 
     @property
     def open_attempts(self) -> list[Attempt]:
@@ -216,6 +220,8 @@
         part = attempt.part
         if not outcome.fate.has_not_run:
             part.ran += 1
+        if outcome.fate.has_arrived:
+            part.arrived += 1
         self._learn(attempt, outcome, now)
         if outcome.reply is None or not self._is_good(outcome.reply):
             yield self._failure_event(attempt, outcome, now)
@@ -291,8 +297,9 @@
             return
         if part.ran >= self._route.attempts:
             return
-        allowed = self._route.attempts + MAX_REFUSED_SENDS
-        if len(part.attempts) < allowed:
+        if part.arrived >= self._route.attempts + MAX_REFUSED_ARRIVALS:
+            return
+        if len(part.attempts) < MAX_SENDS:
             yield from self._repeat(part, f'{outcome.fate.value} part', now)
 
     def _repeat(
@@ -309,7 +316,10 @@
         budget = self._table.budget(part.service)
         left = budget.left(len(self._table.entries), now)
         upstream = self._choose(part, now)
-        if left < 1 or upstream is None:
+        # What reached no searcher is no load on any: the next send is the
+        # first arrival.
+        is_first = not part.arrived and not part.open_attempts
+        if upstream is None or (left < 1 and not is_first):
             yield LogEvent(
                 EVENT_NO_REPEAT,
                 request=self.request_id,
@@ -317,7 +327,8 @@
                 reason='no searcher' if upstream is None else 'no budget',
             )
             return
-        budget.note_repeat(now)
+        if not is_first:
+            budget.note_repeat(now)
         yield LogEvent(
             EVENT_REPEATED,
             request=self.request_id,
--- a/snipejunction/components/gateway/upstreams.py
+++ b/snipejunction/components/gateway/upstreams.py
@@ -6,6 +6,7 @@
     FAILURE_WEIGHT,
     FORGET_SECONDS,
     LATENCY_WEIGHT,
+    MAX_REFUSED_SECONDS,
     REFUSED_SECONDS,
     SLOW_WEIGHT,
 )
@@ -27,6 +28,7 @@
 
     __slots__ = (
         '_failure',
+        '_refusals',
         '_sampled_at',
         '_slowness',
         'cold_until',
@@ -49,6 +51,7 @@
         self.stalled_at: float | None = None
         self.refused_until = 0.0
         self.silent_by_sender: dict[str, bool] = {}
+        self._refusals = 0
         self._slowness = 1.0
         self._failure = 0.0
         self._sampled_at = now
@@ -75,6 +78,7 @@
     def note_time(self, ratio: float, now: float) -> None:
         """Take the time of an answer over the usual one."""
         self._settle(now)
+        self._refusals = 0
         weight = SLOW_WEIGHT if ratio > self._slowness else LATENCY_WEIGHT
         self._slowness += (ratio - self._slowness) * weight
         self._failure -= self._failure * FAILURE_WEIGHT
@@ -87,7 +91,9 @@
 
     def note_refused(self, now: float) -> None:
         """Take a connection that was refused."""
-        self.refused_until = now + REFUSED_SECONDS
+        pause = min(MAX_REFUSED_SECONDS, REFUSED_SECONDS * 2**self._refusals)
+        self._refusals += 1
+        self.refused_until = now + pause
 
     def note_late(self, now: float) -> bool:
         """Take an attempt that is late; return whether it is the first."""
--- a/tests/components/gateway/test_run.py
+++ b/tests/components/gateway/test_run.py
@@ -236,3 +236,32 @@
             times.add(0.2 if number % 10 == 0 else 0.008)
         wait = self.served.next_due() - 10.0
         self.assertThat(wait, LessThan(0.021))
+
+
+class DeadSearchersTest(RunCase):
+    """Searchers of a data centre that is down."""
+
+    def test_refused_connections_cost_no_budget(self) -> None:
+        """A request goes on to the next searcher until one is reached."""
+        self.begin(make_route(is_idempotent=False), ratio=0)
+        for number in range(6):
+            tell(self.table, make_record(f'dead-{number}'))
+        for _ in range(60):
+            self.table.budget('s').note_repeat(10)
+        sent = self.sent
+        while sent and sent[0].upstream.searcher_id != 's-far':
+            sent = self.take(sent[0], Outcome(Fate.REFUSED), 10.001)
+        self.assertThat(sent, HasLength(1))
+        self.take(sent[0], answered())
+        self.assertThat(self.served.answer.status, Equals(200))
+
+    def test_pause_grows(self) -> None:
+        """A searcher that goes on refusing is left alone for longer."""
+        self.begin(make_route())
+        upstream = self.sent[0].upstream
+        upstream.note_refused(10)
+        first = upstream.refused_until - 10
+        for _ in range(9):
+            upstream.note_refused(20)
+        self.assertThat(upstream.refused_until - 20, GreaterThan(first * 4))
+        self.assertThat(upstream.refused_until - 20, LessThan(5))
