Relay news between control hosts; keep one stream from an entry host

Change: control hosts tell each other what they hear themselves and their entry hosts what any of them hears; lists of hosts are gathered for 0.1 s; an entry host keeps a stream to the control host nearby, or to two others while that one is lost or hears no leader. One class holds what a host believes of a searcher, on both sides. A test found that a silence was not relayed while another control host still heard the searcher; mended.

--- a/snipejunction/components/consensus/tables.py
+++ b/snipejunction/components/consensus/tables.py
@@ -90,6 +90,11 @@
         replica = self._replicas.get(group)
         return [] if replica is None else replica.membership.current.members
 
+    def other_names(self, group: str, own_name: str) -> list[str]:
+        """Return the hosts of a group other than the one named."""
+        names = {member.name for member in self.members_of(group)}
+        return sorted(names - {own_name})
+
     def find_member(self, name: str) -> Member | None:
         """Return a member of any group by the name of its host."""
         for replica in self._replicas.values():
--- a/snipejunction/components/deployment/const.py
+++ b/snipejunction/components/deployment/const.py
@@ -13,15 +13,18 @@
 SEARCH_SECONDS: Final = 0.2
 # A control host that heard no leader for this long counts as cut off, in
 # seconds: longer than an election.
-CUT_OFF_SECONDS: Final = 2.0
+CUT_OFF_SECONDS: Final = 1.5
 # A voter that is silent for this long gives way to another voter of its
 # data centre, in seconds: longer than a restart of its process.
 REPLACE_SECONDS: Final = 2.5
 # Orders and reads that may wait for the log at one host.
 MAX_OPEN_ORDERS: Final = 256
-# A presence from another data centre gets the document only if it lags this
-# often in a row, so that the control host nearby sends it first.
-LAGS_BEFORE_FEED: Final = 2
+# Changes of the known hosts are told together after this time, in seconds:
+# many hosts start or stop at once.
+HOSTS_DELAY_SECONDS: Final = 0.1
+# An entry host closes streams that it does not need this long after it found
+# better ones, in seconds.
+SETTLE_SECONDS: Final = 2.0
 EVENT_DOCUMENT_ACCEPTED: Final = EventKind(
     901,
     'info',
--- a/snipejunction/components/deployment/messages.py
+++ b/snipejunction/components/deployment/messages.py
@@ -163,18 +163,35 @@
 
 @wire(148)
 class HostsFed(PeerMessage):
-    """The control hosts and the entry hosts that the sender knows."""
+    """The hosts that a control host knows, for an entry host.
 
-    __slots__ = ('controls', 'entries')
+    ``controls`` are data centres by the names of control hosts;
+    ``is_cut_off`` says that the sender hears no leader.
+    """
+
+    __slots__ = ('controls', 'entries', 'is_cut_off')
 
     def __init__(
         self,
-        controls: list[str],
+        controls: dict[str, str],
         entries: list[EntryRecord],
+        is_cut_off: bool,
     ) -> None:
-        """Create a message to an entry host; ``controls`` are names."""
+        """Create a message."""
         self.controls = controls
         self.entries = entries
+        self.is_cut_off = is_cut_off
+
+
+@wire(153)
+class EntriesFed(PeerMessage):
+    """The entry hosts with a stream to the sender, for a control host."""
+
+    __slots__ = ('entries',)
+
+    def __init__(self, entries: list[EntryRecord]) -> None:
+        """Create a message with those that take work."""
+        self.entries = entries
 
 
 @wire(149)
--- a/snipejunction/components/deployment/systems/feeding.py
+++ b/snipejunction/components/deployment/systems/feeding.py
@@ -10,41 +10,76 @@
     EVENT_ENTRY_LOST,
     EVENT_ENTRY_READY,
     EVENT_ENTRY_SEEN,
-    LAGS_BEFORE_FEED,
+    HOSTS_DELAY_SECONDS,
 )
 from snipejunction.components.deployment.messages import (
     DeploymentFed,
+    EntriesFed,
     EntryPresence,
     HostsFed,
 )
 from snipejunction.components.deployment.systems.recruiting import (
-    known_controls,
+    is_cut_off,
 )
 from snipejunction.components.deployment.tables import ConnectedEntry
 from snipejunction.components.registration.systems.announcing import (
-    news_of_all,
+    news_for_control,
+    news_for_entry,
 )
-from snipejunction.handling import handle, listen
-from snipejunction.messages import PeerLost
+from snipejunction.const import GROUP_DEPLOYMENT
+from snipejunction.handling import handle, listen, on_tick
+from snipejunction.messages import PeerConnected, PeerLost
 from snipejunction.node import Node
+from snipejunction.timers import NEVER
 
 
 def feed_all(node: Node, now: float) -> Iterator[Command]:
-    """Send the deployment to the entry hosts of this data centre."""
+    """Send the deployment to all entry hosts with a stream."""
     for name, entry in node.deployment.entries.items():
-        if entry.presence.data_centre == node.identity.data_centre:
-            yield from _feed(name, entry, node)
+        yield from _feed(name, entry, node)
+
 
+def feed_hosts_soon(node: Node, now: float) -> None:
+    """Tell others which hosts there are, many changes at once."""
+    due = now + HOSTS_DELAY_SECONDS
+    node.deployment.hosts_due = min(node.deployment.hosts_due, due)
 
-def feed_hosts(node: Node) -> Iterator[Command]:
-    """Tell all entry hosts which hosts there are."""
-    news = _hosts(node)
-    for name in node.deployment.entries:
-        yield SendPeer(name, news)
+
+@on_tick
+def run_feeding(node: Node, now: float) -> Iterator[Command]:
+    """Tell entry hosts and control hosts what changed of the hosts."""
+    table = node.deployment
+    if now < table.hosts_due:
+        return
+    table.hosts_due = NEVER
+    fed = _hosts(node, now)
+    for name in table.entries:
+        yield SendPeer(name, fed)
+    own = EntriesFed(table.entry_records())
+    if own.entries != table.told_entries:
+        table.told_entries = own.entries
+        for other in node.consensus.other_names(GROUP_DEPLOYMENT, node.name):
+            yield SendPeer(other, own)
+
+
+def _hosts(node: Node, now: float) -> HostsFed:
+    members = node.consensus.members_of(GROUP_DEPLOYMENT)
+    return HostsFed(
+        {member.name: member.data_centre for member in members},
+        node.deployment.all_entry_records(),
+        is_cut_off(node, now),
+    )
 
 
-def _hosts(node: Node) -> HostsFed:
-    return HostsFed(known_controls(node), node.deployment.entry_records())
+@handle.register
+def _take_entries(
+    message: EntriesFed,
+    node: Node,
+    now: float,
+) -> Iterator[Command]:
+    node.deployment.entries_by_control[message.sender] = message.entries
+    feed_hosts_soon(node, now)
+    return iter(())
 
 
 def _feed(name: str, entry: ConnectedEntry, node: Node) -> Iterator[Command]:
@@ -52,7 +87,6 @@
     if not state.version or entry.fed_index >= state.index:
         return
     entry.fed_index = state.index
-    entry.lags = 0
     fed = DeploymentFed(state.index, state.version, state.content, state.out)
     yield SendPeer(name, fed)
 
@@ -73,42 +107,43 @@
             name=name,
             data_centre=message.data_centre,
         )
-        yield from news_of_all(name, node, now)
-        yield from feed_hosts(node)
+        yield from news_for_entry(name, node, now)
+        yield SendPeer(name, _hosts(node, now))
+        feed_hosts_soon(node, now)
     elif message.takes_work != entry.presence.takes_work:
         entry.presence = message
         takes_work = message.takes_work
         kind = EVENT_ENTRY_READY if takes_work else EVENT_ENTRY_LEAVES
         yield LogEvent(kind, name=name)
-        yield from feed_hosts(node)
+        feed_hosts_soon(node, now)
     entry.presence = message
     entry.heard_at = now
-    yield from _catch_up(name, entry, node)
-
-
-def _catch_up(
-    name: str,
-    entry: ConnectedEntry,
-    node: Node,
-) -> Iterator[Command]:
-    presence = entry.presence
-    if presence.index >= node.deployment.state.index:
-        entry.lags = 0
-        return
-    entry.lags += 1
-    is_near = presence.data_centre == node.identity.data_centre
-    if is_near or entry.lags >= LAGS_BEFORE_FEED:
+    if message.index < node.deployment.state.index:
         # What was sent before may have been lost with an older stream.
-        entry.fed_index = presence.index
+        entry.fed_index = message.index
         yield from _feed(name, entry, node)
 
 
+def _meet(notice: PeerConnected, node: Node, now: float) -> Iterator[Command]:
+    """Tell a control host all that this one heard itself."""
+    others = node.consensus.other_names(GROUP_DEPLOYMENT, node.name)
+    if notice.host in others:
+        yield SendPeer(
+            notice.host,
+            EntriesFed(node.deployment.entry_records()),
+        )
+        yield from news_for_control(notice.host, node, now)
+
+
 def _lose(notice: PeerLost, node: Node, now: float) -> Iterator[Command]:
     entry = node.deployment.entries.pop(notice.host, None)
+    if node.deployment.entries_by_control.pop(notice.host, None):
+        feed_hosts_soon(node, now)
     if entry is not None:
         age = round(now - entry.heard_at, 3)
         yield LogEvent(EVENT_ENTRY_LOST, name=notice.host, age=age)
-        yield from feed_hosts(node)
+        feed_hosts_soon(node, now)
 
 
+listen(PeerConnected, _meet)
 listen(PeerLost, _lose)
--- a/snipejunction/components/deployment/systems/recruiting.py
+++ b/snipejunction/components/deployment/systems/recruiting.py
@@ -58,7 +58,7 @@
     if now >= node.deployment.presence_due:
         node.deployment.presence_due = now + PRESENCE_SECONDS
         yield from _announce(replica, node)
-        yield from _note_cut(replica, node, now)
+    yield from _note_cut(replica, node, now)
     leadership = replica.leadership
     if leadership is not None and may_change(replica):
         yield from _replace(replica, leadership, now)
@@ -88,9 +88,11 @@
     if not is_cut_off(node, now):
         if table.cut_off_since is not None:
             table.cut_off_since = None
+            table.hosts_due = now
             yield LogEvent(EVENT_REJOINED, leader=replica.leader_name)
     elif table.cut_off_since is None:
         table.cut_off_since = now
+        table.hosts_due = now
         age = round(now - replica.heard_leader_at, 3)
         yield LogEvent(EVENT_CUT_OFF, age=age)
 
--- a/snipejunction/components/deployment/tables.py
+++ b/snipejunction/components/deployment/tables.py
@@ -43,18 +43,16 @@
 class ConnectedEntry:
     """An entry host with a stream to this control host.
 
-    ``fed_index`` is the index of the last deployment sent to it; ``lags``
-    counts the presences in a row that were behind.
+    ``fed_index`` is the index of the last deployment sent to it.
     """
 
-    __slots__ = ('fed_index', 'heard_at', 'lags', 'presence')
+    __slots__ = ('fed_index', 'heard_at', 'presence')
 
     def __init__(self, presence: EntryPresence, now: float) -> None:
         """Create an entry of a host heard at ``now``."""
         self.presence = presence
         self.heard_at = now
         self.fed_index = 0
-        self.lags = 0
 
 
 class DeploymentTable:
@@ -64,11 +62,14 @@
         '_next_token',
         'cut_off_since',
         'entries',
+        'entries_by_control',
+        'hosts_due',
         'orders',
         'presence_due',
         'reads',
         'seeds',
         'state',
+        'told_entries',
     )
 
     def __init__(self) -> None:
@@ -76,6 +77,9 @@
         self.state = Deployment()
         self.seeds: tuple[str, ...] = ()
         self.entries: dict[str, ConnectedEntry] = {}
+        self.entries_by_control: dict[str, list[EntryRecord]] = {}
+        self.hosts_due = NEVER
+        self.told_entries: list[EntryRecord] = []
         self.orders: dict[int, PendingOrder] = {}
         self.reads: dict[int, tuple[int, str]] = {}
         self.presence_due = -NEVER
@@ -88,6 +92,13 @@
         self.reads[self._next_token] = (call_id, origin)
         return self._next_token
 
+    def all_entry_records(self) -> list[EntryRecord]:
+        """Return the entry hosts that any control host knows."""
+        found = {record.name: record for record in self.entry_records()}
+        for records in self.entries_by_control.values():
+            found.update((record.name, record) for record in records)
+        return [found[name] for name in sorted(found)]
+
     def entry_records(self) -> list[EntryRecord]:
         """Return the entry hosts that take new work, by name."""
         return [
--- a/snipejunction/components/gateway/learning.py
+++ b/snipejunction/components/gateway/learning.py
@@ -20,7 +20,7 @@
 from snipejunction.components.gateway.routing import RouteIndex
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.components.gateway.upstreams import Upstream
-from snipejunction.components.registration.const import GONE, SILENT
+from snipejunction.components.registration.const import GONE
 from snipejunction.components.registration.messages import (
     SearcherNews,
     SearcherRecord,
@@ -101,22 +101,15 @@
 
 def take_hosts(message: HostsFed, table: GatewayTable) -> None:
     """Note which hosts the sender knows."""
-    table.controls_by_sender[message.sender] = message.controls
-    table.entries_by_sender[message.sender] = message.entries
-
-
-def control_connected(name: str, table: GatewayTable) -> None:
-    """Drop what a control host said before; it tells all it knows anew."""
-    for upstream in table.upstreams.values():
-        if len(upstream.silent_by_sender) > 1:
-            upstream.silent_by_sender.pop(name, None)
+    table.hosts_by_sender[message.sender] = message
 
 
 def lose_control(name: str, table: GatewayTable) -> None:
-    """Forget what a lost control host knew, unless it was the last one."""
-    if len(table.controls_by_sender) > 1:
-        table.controls_by_sender.pop(name, None)
-        table.entries_by_sender.pop(name, None)
+    """Forget what a lost control host said, unless it was the last one."""
+    if len(table.hosts_by_sender) > 1:
+        table.hosts_by_sender.pop(name, None)
+    for upstream in table.upstreams.values():
+        upstream.forget_sender(name)
 
 
 def take_searchers(
@@ -143,55 +136,20 @@
     now: float,
 ) -> bool:
     known = table.upstreams.get(record.searcher_id)
-    if known is None:
-        if not record.service:
-            return False
-        known = Upstream(record, now)
+    if known is None or known.is_replaced_by(record):
+        if record.service:
+            _add(Upstream(record, sender, now), table)
+        return bool(record.service)
+    service = known.record.service
+    is_changed = known.hear(record, sender, now)
+    if known.record.service != service:
+        table.upstreams_by_service[service].pop(record.searcher_id, None)
         _add(known, table)
-        known.silent_by_sender[sender] = record.state == SILENT
-        return True
-    if record.born_ms == known.record.born_ms:
-        was_silent = known.is_silent
-        known.silent_by_sender[sender] = record.state == SILENT
-        if record.state == SILENT:
-            # Another control host may hear it: the record stays as it is.
-            return known.is_silent != was_silent
-    if not _is_news(record, known.record):
-        return False
-    if not record.service:
-        # The sender knows only that it is gone.
-        known.record.state = record.state
-        return True
-    if record.born_ms != known.record.born_ms:
-        fresh = Upstream(record, now)
-        fresh.silent_by_sender[sender] = record.state == SILENT
-        _add(fresh, table)
-        return True
-    if record.service != known.record.service:
-        table.upstreams_by_service[known.record.service].pop(
-            record.searcher_id,
-            None,
-        )
-        _add(known, table, record.service)
-    known.record = record
-    known.learned_at = now
-    if record.cold_left:
-        known.cold_until = now + record.cold_left
-    return True
-
-
-def _is_news(record: SearcherRecord, known: SearcherRecord) -> bool:
-    if record.service and record.born_ms != known.born_ms:
-        return record.born_ms > known.born_ms
-    if known.state == GONE:
-        return False
-    if record.state == GONE:
-        return True
-    return record.sequence > known.sequence
-
-
-def _add(upstream: Upstream, table: GatewayTable, service: str = '') -> None:
-    name = service or upstream.record.service
+    return is_changed
+
+
+def _add(upstream: Upstream, table: GatewayTable) -> None:
+    name = upstream.record.service
     table.upstreams[upstream.searcher_id] = upstream
     of_service = table.upstreams_by_service.setdefault(name, {})
     of_service[upstream.searcher_id] = upstream
--- a/snipejunction/components/gateway/tables.py
+++ b/snipejunction/components/gateway/tables.py
@@ -4,7 +4,10 @@
 
 from random import Random
 
-from snipejunction.components.deployment.messages import EntryRecord
+from snipejunction.components.deployment.messages import (
+    EntryRecord,
+    HostsFed,
+)
 from snipejunction.components.gateway.budget import RepeatBudget, RepeatLimits
 from snipejunction.components.gateway.const import HEDGE_QUANTILE
 from snipejunction.components.gateway.document import Document, Service
@@ -22,11 +25,10 @@
 
     __slots__ = (
         'budgets',
-        'controls_by_sender',
         'data_centre',
         'document',
         'document_at',
-        'entries_by_sender',
+        'hosts_by_sender',
         'index',
         'is_prepared',
         'limits',
@@ -62,17 +64,19 @@
         self.routes = RouteIndex()
         self.index = 0
         self.out: dict[str, bool] = {}
-        self.controls_by_sender: dict[str, list[str]] = {}
-        self.entries_by_sender: dict[str, list[EntryRecord]] = {}
+        self.hosts_by_sender: dict[str, HostsFed] = {}
         self.upstreams: dict[str, Upstream] = {}
         self.upstreams_by_service: dict[str, dict[str, Upstream]] = {}
         self.budgets: dict[str, RepeatBudget] = {}
         self.times: dict[str, QuantileWindow] = {}
 
     @property
-    def controls(self) -> set[str]:
-        """Return the control hosts that any control host knows."""
-        return set().union(*self.controls_by_sender.values())
+    def controls(self) -> dict[str, str]:
+        """Return the data centres of all known control hosts by name."""
+        controls: dict[str, str] = {}
+        for fed in self.hosts_by_sender.values():
+            controls.update(fed.controls)
+        return controls
 
     @property
     def entries(self) -> set[str]:
@@ -84,8 +88,8 @@
         """Return the entry hosts that any control host names."""
         return {
             record.name: record
-            for records in self.entries_by_sender.values()
-            for record in records
+            for fed in self.hosts_by_sender.values()
+            for record in fed.entries
         }
 
     def budget(self, service: str) -> RepeatBudget:
--- a/snipejunction/components/gateway/upstreams.py
+++ b/snipejunction/components/gateway/upstreams.py
@@ -10,20 +10,19 @@
     REFUSED_SECONDS,
     SLOW_WEIGHT,
 )
+from snipejunction.components.registration.belief import SearcherBelief
 from snipejunction.components.registration.messages import SearcherRecord
 
 _HALF = 0.5
 
 
-class Upstream:
+class Upstream(SearcherBelief):
     """What is known and learned of one searcher; times are monotonic.
 
     ``slowness`` is the moving average of its time over the usual time of
     the same route, ``failure`` that of its failures; both return to normal
     while nothing is sent. ``stalled_at`` is when an attempt grew late
-    without any answer since; ``learned_at`` is when the newest news came.
-    ``silent_by_sender`` says for each control host
-    that told of it whether it hears nothing of the searcher.
+    without any answer since.
     """
 
     __slots__ = (
@@ -31,42 +30,24 @@
         '_refusals',
         '_sampled_at',
         '_slowness',
-        'cold_until',
         'in_flight',
         'last_cold_send',
-        'learned_at',
-        'record',
         'refused_until',
-        'silent_by_sender',
         'stalled_at',
     )
 
-    def __init__(self, record: SearcherRecord, now: float) -> None:
-        """Create the state of a searcher that was just learned of."""
-        self.record = record
+    def __init__(self, record: SearcherRecord, sender: str, now: float) -> None:
+        """Create the state of a searcher that ``sender`` told of."""
+        super().__init__(record, sender, now)
         self.in_flight = 0
-        self.learned_at = now
-        self.cold_until = now + record.cold_left
         self.last_cold_send = 0.0
         self.stalled_at: float | None = None
         self.refused_until = 0.0
-        self.silent_by_sender: dict[str, bool] = {}
         self._refusals = 0
         self._slowness = 1.0
         self._failure = 0.0
         self._sampled_at = now
 
-    @property
-    def searcher_id(self) -> str:
-        """Return the id of the searcher."""
-        return self.record.searcher_id
-
-    @property
-    def is_silent(self) -> bool:
-        """Return whether no control host hears the searcher."""
-        senders = self.silent_by_sender
-        return bool(senders) and all(senders.values())
-
     def slowness(self, now: float) -> float:
         """Return its time over the usual one, 1 where nothing is known."""
         return 1.0 + (self._slowness - 1.0) * self._memory(now)
--- a/snipejunction/components/registration/systems/announcing.py
+++ b/snipejunction/components/registration/systems/announcing.py
@@ -1,4 +1,8 @@
-"""What announcements change, and what entry hosts are told of it."""
+"""What announcements change, and who is told of it.
+
+Each control host tells the other control hosts what it hears itself, and its
+entry hosts what any control host hears.
+"""
 
 from __future__ import annotations
 
@@ -17,7 +21,6 @@
     LEAVING,
     MAX_SEARCHERS,
     MISSED_ANNOUNCEMENTS,
-    READY,
     SILENT,
 )
 from snipejunction.components.registration.messages import (
@@ -27,20 +30,29 @@
     SearcherRecord,
 )
 from snipejunction.components.registration.tables import KnownSearcher
-from snipejunction.handling import handle, on_tick
+from snipejunction.const import GROUP_DEPLOYMENT
+from snipejunction.handling import handle, listen, on_tick
+from snipejunction.messages import PeerLost
 from snipejunction.node import Node
 
 _SWEEP_SECONDS: Final = 0.5
 _STATE_NAMES: Final = ('ready', 'leaving', 'silent', 'gone')
-# A cold time that differs by less than this from what is known is no news,
-# in seconds.
-_COLD_TOLERANCE_SECONDS: Final = 0.5
 
 
-def news_of_all(name: str, node: Node, now: float) -> Iterator[Command]:
+def news_for_entry(name: str, node: Node, now: float) -> Iterator[Command]:
     """Send all that is known to an entry host that is new here."""
+    searchers = node.registration.searchers.values()
+    records = [known.describe(_state_of(known), now) for known in searchers]
+    if records:
+        yield SendPeer(name, SearcherNews(records))
+
+
+def news_for_control(name: str, node: Node, now: float) -> Iterator[Command]:
+    """Send all that this host heard itself to another control host."""
     records = [
-        known.record_at(now) for known in node.registration.searchers.values()
+        known.describe(_own_state_of(known, node), now)
+        for known in node.registration.searchers.values()
+        if node.name in known.silent_by_sender
     ]
     if records:
         yield SendPeer(name, SearcherNews(records))
@@ -53,23 +65,47 @@
     now: float,
 ) -> Iterator[Command]:
     record = message.searcher
-    searchers = node.registration.searchers
-    known = searchers.get(record.searcher_id)
-    if known is None:
-        if len(searchers) >= MAX_SEARCHERS:
-            return
-    elif not _is_newer(record, known):
-        known_place = known.record.sequence
+    known = node.registration.searchers.get(record.searcher_id)
+    if known is not None and _is_stale(record, known):
         yield LogEvent(
             EVENT_ANNOUNCEMENT_STALE,
             searcher=record.searcher_id,
             sequence=record.sequence,
-            known=known_place,
+            known=known.record.sequence,
         )
         return
-    fresh = KnownSearcher(record, now)
-    searchers[record.searcher_id] = fresh
-    if known is None or known.record.born_ms != record.born_ms:
+    was_heard = known is not None and _is_watched(known, node)
+    yield from _hear(record, node.name, node, now)
+    known = node.registration.searchers.get(record.searcher_id)
+    if known is not None:
+        known.heard_at = now
+        if not was_heard:
+            yield from _tell_controls(known, node, now)
+
+
+def _is_stale(record: SearcherRecord, known: KnownSearcher) -> bool:
+    if known.is_replaced_by(record):
+        return False
+    if known.record.state == GONE:
+        return True
+    if record.born_ms != known.record.born_ms:
+        return True
+    return record.sequence <= known.record.sequence
+
+
+def _hear(
+    record: SearcherRecord,
+    sender: str,
+    node: Node,
+    now: float,
+) -> Iterator[Command]:
+    searchers = node.registration.searchers
+    known = searchers.get(record.searcher_id)
+    if known is None or known.is_replaced_by(record):
+        if known is None and len(searchers) >= MAX_SEARCHERS:
+            return
+        known = KnownSearcher(record, sender, now)
+        searchers[record.searcher_id] = known
         yield LogEvent(
             EVENT_SEARCHER_NEW,
             searcher=record.searcher_id,
@@ -77,35 +113,23 @@
             address=record.address,
             cold_left=record.cold_left,
         )
-        yield from _tell(fresh, node, now)
-    elif _differs(known, fresh):
-        yield _state_event(record)
-        yield from _tell(fresh, node, now)
+    elif known.hear(record, sender, now):
+        yield _state_event(known)
+    else:
+        return
+    yield from _tell_entries(known, node, now)
+    if sender == node.name:
+        yield from _tell_controls(known, node, now)
 
 
-def _is_newer(record: SearcherRecord, known: KnownSearcher) -> bool:
-    if known.record.service and record.born_ms != known.record.born_ms:
-        return record.born_ms > known.record.born_ms
-    if known.record.state == GONE:
-        # Without its start only a first announcement proves a new one.
-        is_unknown = not known.record.service
-        return is_unknown and record.sequence <= 1
-    return record.sequence > known.record.sequence
-
-
-def _differs(known: KnownSearcher, fresh: KnownSearcher) -> bool:
-    old = known.record
-    new = fresh.record
-    if (old.state, old.service, old.address) != (
-        new.state,
-        new.service,
-        new.address,
-    ):
-        return True
-    if new.cold_left <= 0:
-        return False
-    drift = abs(fresh.cold_until - known.cold_until)
-    return drift > _COLD_TOLERANCE_SECONDS
+@handle.register
+def _take_news(
+    message: SearcherNews,
+    node: Node,
+    now: float,
+) -> Iterator[Command]:
+    for record in message.searchers:
+        yield from _hear(record, message.sender, node, now)
 
 
 @handle.register
@@ -114,44 +138,55 @@
     node: Node,
     now: float,
 ) -> Iterator[Command]:
-    searchers = node.registration.searchers
-    known = searchers.get(message.searcher_id)
+    known = node.registration.searchers.get(message.searcher_id)
     if known is None:
-        # Another control host may have told the entry hosts of it.
-        known = KnownSearcher(_unknown(message.searcher_id), now)
-        searchers[message.searcher_id] = known
-    elif known.record.state == GONE:
-        return
-    known.record.state = GONE
-    known.heard_at = now
-    yield _state_event(known.record)
-    yield from _tell(known, node, now)
+        # Other hosts may know it.
+        gone = SearcherRecord(message.searcher_id, '', '', '', 0, 0, 0, 0, GONE)
+    else:
+        gone = known.describe(GONE, now)
+    yield from _hear(gone, node.name, node, now)
 
 
-def _unknown(searcher_id: str) -> SearcherRecord:
-    return SearcherRecord(searcher_id, '', '', '', 0, 0, 0, 0)
+def _state_of(known: KnownSearcher) -> int:
+    return SILENT if known.is_silent else known.record.state
 
 
-def _state_event(record: SearcherRecord) -> LogEvent:
+def _own_state_of(known: KnownSearcher, node: Node) -> int:
+    if known.record.state != GONE and known.silent_by_sender.get(node.name):
+        return SILENT
+    return known.record.state
+
+
+def _state_event(known: KnownSearcher) -> LogEvent:
     return LogEvent(
         EVENT_SEARCHER_STATE,
-        searcher=record.searcher_id,
-        service=record.service,
-        state=_STATE_NAMES[record.state],
-        sequence=record.sequence,
+        searcher=known.searcher_id,
+        service=known.record.service,
+        state=_STATE_NAMES[_state_of(known)],
+        sequence=known.record.sequence,
     )
 
 
-def _tell(
+def _tell_entries(
     known: KnownSearcher,
     node: Node,
     now: float,
 ) -> Iterator[Command]:
-    news = SearcherNews([known.record_at(now)])
+    news = SearcherNews([known.describe(_state_of(known), now)])
     for name in node.deployment.entries:
         yield SendPeer(name, news)
 
 
+def _tell_controls(
+    known: KnownSearcher,
+    node: Node,
+    now: float,
+) -> Iterator[Command]:
+    news = SearcherNews([known.describe(_own_state_of(known, node), now)])
+    for name in node.consensus.other_names(GROUP_DEPLOYMENT, node.name):
+        yield SendPeer(name, news)
+
+
 @on_tick
 def run_sweep(node: Node, now: float) -> Iterator[Command]:
     """Note searchers that fell silent; forget those that are long gone."""
@@ -161,24 +196,65 @@
     table.sweep_due = now + _SWEEP_SECONDS
     silent_after = table.interval * MISSED_ANNOUNCEMENTS + LATENESS_SECONDS
     for searcher_id, known in list(table.searchers.items()):
-        age = now - known.heard_at
-        if age > GONE_SECONDS:
+        if _is_forgotten(known, now):
             table.searchers.pop(searcher_id)
-        elif age > silent_after and known.record.state in {READY, LEAVING}:
-            yield from _fall_silent(known, node, now)
+        elif _is_watched(known, node):
+            age = now - known.heard_at
+            if age > silent_after:
+                yield from _fall_silent(known, age, node, now)
+
+
+def _is_forgotten(known: KnownSearcher, now: float) -> bool:
+    is_over = known.is_silent or known.record.state == GONE
+    return is_over and now > known.learned_at + GONE_SECONDS
+
+
+def _is_watched(known: KnownSearcher, node: Node) -> bool:
+    """Return whether this host heard it and has to notice its silence."""
+    if known.record.state == GONE:
+        return False
+    return known.silent_by_sender.get(node.name) is False
 
 
 def _fall_silent(
     known: KnownSearcher,
+    age: float,
     node: Node,
     now: float,
 ) -> Iterator[Command]:
-    is_leaving = known.record.state == LEAVING
-    known.record.state = GONE if is_leaving else SILENT
     yield LogEvent(
         EVENT_SEARCHER_SILENT,
-        searcher=known.record.searcher_id,
+        searcher=known.searcher_id,
         service=known.record.service,
-        age=round(now - known.heard_at, 3),
+        age=round(age, 3),
+    )
+    # A leaving searcher that nobody hears has ended.
+    is_last = all(
+        is_silent
+        for sender, is_silent in known.silent_by_sender.items()
+        if sender != node.name
     )
-    yield from _tell(known, node, now)
+    has_ended = is_last and known.record.state == LEAVING
+    state = GONE if has_ended else SILENT
+    yield from _hear(known.describe(state, now), node.name, node, now)
+    known.learned_at = now
+    # Others need to know even if one of them still hears it.
+    yield from _tell_controls(known, node, now)
+
+
+def _lose_control(
+    notice: PeerLost,
+    node: Node,
+    now: float,
+) -> Iterator[Command]:
+    """Take over the searchers that only a lost control host heard."""
+    for known in node.registration.searchers.values():
+        if known.silent_by_sender.pop(notice.host, None) is not False:
+            continue
+        if False not in known.silent_by_sender.values():
+            known.silent_by_sender[node.name] = False
+            known.heard_at = now
+    return iter(())
+
+
+listen(PeerLost, _lose_control)
--- a/snipejunction/components/registration/tables.py
+++ b/snipejunction/components/registration/tables.py
@@ -1,28 +1,28 @@
-"""Table of the searchers that a control host heard of."""
+"""Table of the searchers that a control host knows of."""
 
 from __future__ import annotations
 
+from typing import Final
+
+from snipejunction.components.registration.belief import SearcherBelief
 from snipejunction.components.registration.messages import SearcherRecord
+from snipejunction.timers import NEVER
 
-DEFAULT_INTERVAL_SECONDS = 1.0
+DEFAULT_INTERVAL_SECONDS: Final = 1.0
 
 
-class KnownSearcher:
-    """A searcher and when it was heard, in monotonic seconds."""
+class KnownSearcher(SearcherBelief):
+    """A searcher and when this host heard it, in monotonic seconds.
 
-    __slots__ = ('cold_until', 'heard_at', 'record')
+    ``heard_at`` is ``-NEVER`` for one that only other control hosts hear.
+    """
 
-    def __init__(self, record: SearcherRecord, now: float) -> None:
-        """Create an entry of a searcher heard at ``now``."""
-        self.record = record
-        self.heard_at = now
-        self.cold_until = now + record.cold_left
+    __slots__ = ('heard_at',)
 
-    def record_at(self, now: float) -> SearcherRecord:
-        """Return the record with the cold time that is left."""
-        record = self.record
-        record.cold_left = max(0.0, self.cold_until - now)
-        return record
+    def __init__(self, record: SearcherRecord, sender: str, now: float) -> None:
+        """Create an entry of a searcher that ``sender`` told of."""
+        super().__init__(record, sender, now)
+        self.heard_at = -NEVER
 
 
 class RegistrationTable:
--- a/snipejunction/edge/gateway/control_link.py
+++ b/snipejunction/edge/gateway/control_link.py
@@ -11,15 +11,19 @@
 from snipejunction.components.deployment.const import (
     PRESENCE_SECONDS,
     SEARCH_SECONDS,
+    SETTLE_SECONDS,
 )
 from snipejunction.components.deployment.messages import (
     DeploymentFed,
     EntryPresence,
     HostsFed,
 )
+from snipejunction.components.gateway.attaching import (
+    needless_controls,
+    wanted_controls,
+)
 from snipejunction.components.gateway.learning import (
     ReadDocument,
-    control_connected,
     lose_control,
     take_deployment,
     take_hosts,
@@ -73,6 +77,7 @@
         self._hooks = hooks
         self._loop = loop
         self._timer: asyncio.TimerHandle | None = None
+        self._needless_since: dict[str, float] = {}
         self.peers: Final = PeerTable(
             profile.name,
             profile.incarnation,
@@ -97,11 +102,13 @@
         self.send_presence()
 
     def send_presence(self) -> None:
-        """Tell all known control hosts how this host is."""
-        names = self._hooks.table.controls
-        if not names.intersection(self.peers.connected):
-            names |= set(self._profile.seeds)
+        """Tell the control hosts that it needs how this host is."""
         presence = self._presence()
+        names = wanted_controls(
+            self._hooks.table,
+            self.peers.connected,
+            self._profile.seeds,
+        )
         for name in sorted(names):
             self.peers.send(name, presence)
 
@@ -133,7 +140,6 @@
 
     @_take.register
     def _take_connected(self, message: PeerConnected) -> None:
-        control_connected(message.host, self._hooks.table)
         self.peers.send(message.host, self._presence())
 
     @_take.register
@@ -154,7 +160,11 @@
 
     @_take.register
     def _take_hosts(self, message: HostsFed) -> None:
-        take_hosts(message, self._hooks.table)
+        table = self._hooks.table
+        before = table.hosts_by_sender.get(message.sender)
+        take_hosts(message, table)
+        if before is None or before.is_cut_off != message.is_cut_off:
+            self.send_presence()
 
     @_take.register
     def _take_searchers(self, message: SearcherNews) -> None:
@@ -184,8 +194,23 @@
 
     def _keep_announcing(self) -> None:
         self.send_presence()
+        self._close_needless()
         is_found = bool(self.peers.connected)
         self._timer = self._loop.call_later(
             PRESENCE_SECONDS if is_found else SEARCH_SECONDS,
             self._keep_announcing,
         )
+
+    def _close_needless(self) -> None:
+        now = self._loop.time()
+        needless = needless_controls(
+            self._hooks.table,
+            self.peers.connected,
+            self._profile.seeds,
+        )
+        for name in self._needless_since.keys() - needless:
+            self._needless_since.pop(name)
+        for name in needless:
+            since = self._needless_since.setdefault(name, now)
+            if now >= since + SETTLE_SECONDS:
+                self.peers.drop(name, 'not needed')
--- a/snipejunction/edge/peers.py
+++ b/snipejunction/edge/peers.py
@@ -134,6 +134,13 @@
         peer.waiting.append((self._loop.time(), message))
         self._dial(host, peer)
 
+    def drop(self, host: str, reason: str) -> None:
+        """Close all streams with a host."""
+        peer = self._peers.get(host)
+        if peer is not None:
+            for stream in list(peer.streams):
+                stream.close(reason)
+
     def stream_made(self, stream: PeerStream) -> bool:
         """Count a new stream; refuse it among too many strangers."""
         strangers = sum(not other.is_ready for other in self._streams)
--- a/tests/components/deployment/harness.py
+++ b/tests/components/deployment/harness.py
@@ -16,6 +16,7 @@
     ReadAnswered,
     ReadAsked,
 )
+from snipejunction.components.registration.systems.announcing import run_sweep
 from snipejunction.const import GROUP_DEPLOYMENT
 from snipejunction.host_settings import HostIdentity, HostSettings
 from tests.components.consensus import harness
@@ -115,6 +116,8 @@
     def _tick(self, node) -> Iterator[Command]:
         yield from super()._tick(node)
         yield from systems.recruiting.run_recruiting(node, self.now)
+        yield from systems.feeding.run_feeding(node, self.now)
+        yield from run_sweep(node, self.now)
 
     def _try(self, name: str, version: int, content: bytes) -> bool:
         self.put(name, version, content)
--- a/tests/components/gateway/stage.py
+++ b/tests/components/gateway/stage.py
@@ -105,6 +105,6 @@
 def name_entries(table: GatewayTable, names: list[str]) -> None:
     """Tell a host of entry hosts in its own data centre."""
     records = [EntryRecord(name, name, 'near', 'one') for name in names]
-    fed = HostsFed(['c1'], records)
+    fed = HostsFed({'c1': 'near'}, records, False)
     fed.sender = 'c1'
     take_hosts(fed, table)
--- a/tests/components/gateway/test_addressing.py
+++ b/tests/components/gateway/test_addressing.py
@@ -28,7 +28,7 @@
             EntryRecord(name, f'{name}:80', place, region)
             for name, place, region in entries
         ]
-        fed = HostsFed([sender], records)
+        fed = HostsFed({sender: 'near'}, records, False)
         fed.sender = sender
         take_hosts(fed, self.table)
 
--- /dev/null
+++ b/tests/components/gateway/test_attaching.py
@@ -0,0 +1,72 @@
+"""Which control hosts an entry host keeps a stream to."""
+
+from __future__ import annotations
+
+from testtools import TestCase
+from testtools.matchers import Equals, HasLength
+
+from snipejunction.components.deployment.messages import HostsFed
+from snipejunction.components.gateway.attaching import (
+    needless_controls,
+    wanted_controls,
+)
+from snipejunction.components.gateway.learning import take_hosts
+from tests.components.gateway.stage import make_table
+
+CONTROLS = ('c1', 'c2', 'c3', 'c4')
+SEEDS = ('c1', 'c9')
+
+
+class AttachingTest(TestCase):
+    """Four control hosts, the first one nearby."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.table = make_table()
+        self.places = dict(
+            zip(CONTROLS, ('near', 'far', 'x', 'y'), strict=True)
+        )
+
+    def tell(self, sender: str, *, is_cut_off: bool = False) -> None:
+        fed = HostsFed(self.places, [], is_cut_off)
+        fed.sender = sender
+        take_hosts(fed, self.table)
+
+    def wanted(self, *connected: str) -> set[str]:
+        return wanted_controls(self.table, connected, SEEDS)
+
+    def test_start(self) -> None:
+        """A host that knows nobody tries the seeds."""
+        self.assertThat(self.wanted(), Equals(set(SEEDS)))
+
+    def test_nearby(self) -> None:
+        """One control host nearby suffices; other streams can go."""
+        for name in CONTROLS:
+            self.tell(name)
+        self.assertThat(self.wanted('c1', 'c2'), Equals({'c1'}))
+        needless = needless_controls(self.table, ('c1', 'c2'), SEEDS)
+        self.assertThat(needless, Equals({'c2'}))
+
+    def test_nearby_lost(self) -> None:
+        """Without it all are tried, then two stand in for it."""
+        self.tell('c1')
+        self.assertThat(self.wanted(), Equals({*CONTROLS, *SEEDS}))
+        for name in CONTROLS[1:]:
+            self.tell(name)
+        wanted = self.wanted('c2', 'c3', 'c4')
+        self.assertThat(wanted - {'c1'}, HasLength(2))
+        # The one nearby is still looked for.
+        self.assertThat('c1' in wanted, Equals(True))
+
+    def test_nearby_cut_off(self) -> None:
+        """A control host that hears no leader does not suffice."""
+        self.tell('c1', is_cut_off=True)
+        self.assertThat(self.wanted('c1'), Equals({*CONTROLS, *SEEDS}))
+
+    def test_nothing_needless_without_a_wanted_one(self) -> None:
+        """The last streams stay, whatever is known of them."""
+        self.tell('c2', is_cut_off=True)
+        self.assertThat(
+            needless_controls(self.table, ('c9',), ()),
+            Equals(set()),
+        )
--- a/tests/components/gateway/test_learning.py
+++ b/tests/components/gateway/test_learning.py
@@ -8,7 +8,7 @@
 from snipejunction.components.deployment.messages import DeploymentFed
 from snipejunction.components.gateway.choosing import choose_upstream
 from snipejunction.components.gateway.learning import (
-    control_connected,
+    lose_control,
     take_deployment,
 )
 from snipejunction.components.registration.const import GONE, LEAVING, SILENT
@@ -66,14 +66,14 @@
         tell(self.table, make_record('a', sequence=3))
         self.assertThat(self.is_silent('a'), Is(False))
 
-    def test_restarted_control(self) -> None:
-        """What a control host said before its restart counts no more."""
+    def test_lost_control(self) -> None:
+        """What a control host said counts no more once it is lost."""
         tell(self.table, make_record('a', sequence=1), sender='c1')
         tell(self.table, make_record('a', sequence=2), sender='c2')
         silent = make_record('a', sequence=9, state=SILENT)
         tell(self.table, silent, sender='c2')
         self.assertThat(self.is_silent('a'), Is(False))
-        control_connected('c1', self.table)
+        lose_control('c1', self.table)
         self.assertThat(self.is_silent('a'), Is(True))
 
 
--- a/tests/edge/gateway/test_searcher_pool.py
+++ b/tests/edge/gateway/test_searcher_pool.py
@@ -112,7 +112,7 @@
         self.loop = asyncio.get_running_loop()
         record = make_record('i-1')
         record.address = address
-        self.upstream = Upstream(record, 0)
+        self.upstream = Upstream(record, 'c', 0)
         self.pool = SearcherPool(DIALECT, self.loop)
         self.last: Sending | None = None
 
