--- a/snipejunction/edge/const.py
+++ b/snipejunction/edge/const.py
@@ -103,6 +103,11 @@
     'request {method} {path} failed: {reason}',
 )
 EVENT_STOP_ASKED: Final = EventKind(812, 'info', 'planned stop was asked')
+EVENT_DISK_FULL: Final = EventKind(
+    814,
+    'error',
+    'a write waits, the data folder is full: {reason}',
+)
 EVENT_STORAGE_FAILED: Final = EventKind(
     813,
     'error',
--- a/snipejunction/edge/control_host.py
+++ b/snipejunction/edge/control_host.py
@@ -194,6 +194,10 @@
             ),
         )
 
+    def disk_full(self, error: StorageError) -> None:
+        """Log that a write waits; nothing is promised until it is done."""
+        self.log(LogEvent(const.EVENT_DISK_FULL, reason=str(error)))
+
     def storage_failed(self, error: StorageError) -> None:
         """End at once: what the host promised may not be durable."""
         self.log(LogEvent(const.EVENT_STORAGE_FAILED, reason=str(error)))
--- a/snipejunction/edge/disk_files.py
+++ b/snipejunction/edge/disk_files.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import errno
 import os
 from contextlib import ExitStack
 from pathlib import Path
 from typing import Final, Protocol
 
-from snipejunction.errors import StorageError
+from snipejunction.errors import DiskFullError, StorageError
 
 _FOLDER_MODE: Final = 0o700
 _FILE_MODE: Final = 0o600
@@ -74,11 +75,16 @@
         """Add to the end of a file, which is created if it is missing."""
         rest = memoryview(chunk)
         try:
+            size = os.fstat(self._descriptor(name)).st_size
             while rest:
                 written = os.write(self._descriptor(name), rest)
                 rest = rest[written:]
         except OSError as error:
-            raise self._failure('write', name, error) from error
+            failure = self._failure('write', name, error)
+            if error.errno != errno.ENOSPC:
+                raise failure from error
+            self.truncate(name, size)
+            raise DiskFullError(str(failure)) from error
 
     def truncate(self, name: str, size: int) -> None:
         """Cut a file to ``size`` bytes."""
--- a/snipejunction/edge/host.py
+++ b/snipejunction/edge/host.py
@@ -204,6 +204,10 @@
             raise StorageError('a host without a data folder keeps no log')
         self._storage.persist(command)
 
+    def disk_full(self, error: StorageError) -> None:
+        """Log that a write waits; nothing is promised until it is done."""
+        self.log(LogEvent(const.EVENT_DISK_FULL, reason=str(error)))
+
     def storage_failed(self, error: StorageError) -> None:
         """Stop at once: what the host promised may not be durable."""
         self.log(LogEvent(const.EVENT_STORAGE_FAILED, reason=str(error)))
--- a/snipejunction/edge/storage.py
+++ b/snipejunction/edge/storage.py
@@ -12,11 +12,11 @@
 from typing import Final, Protocol
 
 from snipejunction.components.consensus.const import VOTER_ID_BITS
-from snipejunction.components.consensus.messages import PersistLog
+from snipejunction.components.consensus.messages import LogPersisted, PersistLog
 from snipejunction.const import GROUP_JOURNAL, GROUP_SETTINGS
 from snipejunction.edge.disk import DataFolder
 from snipejunction.edge.disk_files import RealFiles
-from snipejunction.errors import StorageError
+from snipejunction.errors import DiskFullError, StorageError
 from snipejunction.messages import Message
 from snipejunction.node import Node
 
@@ -24,6 +24,8 @@
 _LOCK_SUFFIX: Final = '.lock'
 _BITS_PER_BYTE: Final = 8
 _LOCK_MODE: Final = 0o600
+# Time between two tries of a write that found the disk full, in seconds.
+_FULL_RETRY_SECONDS: Final = 0.25
 
 
 class StorageHooks(Protocol):
@@ -35,6 +37,9 @@
     def storage_failed(self, error: StorageError) -> None:
         """Stop the host at once."""
 
+    def disk_full(self, error: StorageError) -> None:
+        """Note that a write waits for room on the disk."""
+
 
 class Storage:
     """The data folder of one host, written by one thread in order."""
@@ -84,13 +89,22 @@
             stack.callback(self._writer.shutdown)
             await asyncio.gather(*self._writes, return_exceptions=True)
 
+    async def _async_execute(self, command: PersistLog) -> LogPersisted:
+        """Write and sync; a full disk is waited for."""
+        while True:
+            try:
+                return await self._loop.run_in_executor(
+                    self._writer,
+                    self._folder.execute,
+                    command,
+                )
+            except DiskFullError as error:
+                self._hooks.disk_full(error)
+            await asyncio.sleep(_FULL_RETRY_SECONDS)
+
     async def _async_persist(self, command: PersistLog) -> None:
         try:
-            persisted = await self._loop.run_in_executor(
-                self._writer,
-                self._folder.execute,
-                command,
-            )
+            persisted = await self._async_execute(command)
         except StorageError as error:
             self._hooks.storage_failed(error)
         except OSError as error:
--- a/snipejunction/errors.py
+++ b/snipejunction/errors.py
@@ -23,6 +23,10 @@
     """A file under the data folder is damaged or cannot be written."""
 
 
+class DiskFullError(StorageError):
+    """A write found no room; nothing of it is left, it can be repeated."""
+
+
 class PeerError(SnipejunctionError):
     """A peer broke the stream protocol or failed authentication."""
 
--- /dev/null
+++ b/tests/edge/test_disk_full.py
@@ -0,0 +1,115 @@
+"""A disk without room for some time."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+import tempfile
+from unittest import mock
+
+from testtools import TestCase
+from testtools.matchers import Equals, HasLength
+
+from snipejunction.components.consensus.messages import (
+    LogEntry,
+    LogPersisted,
+    PersistLog,
+)
+from snipejunction.edge.disk import DataFolder
+from snipejunction.edge.disk_files import RealFiles
+from snipejunction.edge.storage import Storage
+from snipejunction.errors import DiskFullError, StorageError
+from snipejunction.messages import Message
+
+GROUPS = ('one',)
+WRITE = PersistLog('one', 1, 3, 'id', 1, [LogEntry(3, 1, b'kept')], None)
+
+
+class HalfWrite:
+    """Writes half of the first chunk, then finds no room."""
+
+    def __init__(self, number: int = errno.ENOSPC) -> None:
+        self.number = number
+        self.calls = 0
+        self.write = os.write
+
+    def __call__(self, descriptor: int, chunk: bytes) -> int:
+        """Write as a disk does that runs full in between."""
+        self.calls += 1
+        if self.calls == 1:
+            return self.write(descriptor, chunk[: len(chunk) // 2])
+        raise OSError(self.number, os.strerror(self.number))
+
+
+class Hooks:
+    """Notes what a storage tells its host."""
+
+    def __init__(self) -> None:
+        self.messages: list[Message] = []
+        self.full: list[StorageError] = []
+        self.failures: list[StorageError] = []
+        self.done = asyncio.Event()
+
+    def submit(self, message: Message) -> None:
+        """Take that a write is done."""
+        self.messages.append(message)
+        self.done.set()
+
+    def disk_full(self, error: StorageError) -> None:
+        """Take that a write waits."""
+        self.full.append(error)
+
+    def storage_failed(self, error: StorageError) -> None:
+        """Take that the disk failed."""
+        self.failures.append(error)
+        self.done.set()
+
+
+class DiskFullTest(TestCase):
+    """Writes that find no room."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = os.path.join(folder.name, 'data')
+
+    def test_nothing_of_the_write_is_left(self) -> None:
+        """A write that ran out of room can be repeated as it was."""
+        files = RealFiles(self.path)
+        folder = DataFolder(files)
+        folder.open('id', GROUPS)
+        with mock.patch('os.write', HalfWrite()):
+            self.assertRaises(DiskFullError, folder.execute, WRITE)
+        folder.execute(WRITE)
+        files.close()
+        stored = DataFolder(RealFiles(self.path)).open('id', GROUPS)['one']
+        self.assertThat(stored.entries, Equals(WRITE.entries))
+
+    def test_other_errors_stop(self) -> None:
+        """After any other error it is not known what lasts."""
+        folder = DataFolder(RealFiles(self.path))
+        folder.open('id', GROUPS)
+        with mock.patch('os.write', HalfWrite(errno.EIO)):
+            error = self.assertRaises(StorageError, folder.execute, WRITE)
+        self.assertThat(isinstance(error, DiskFullError), Equals(False))
+
+    def test_host_waits_for_room(self) -> None:
+        """A host goes on by itself once the disk has room again."""
+        hooks = asyncio.run(self.async_write())
+        self.assertThat(hooks.full, HasLength(1))
+        self.assertThat(hooks.failures, HasLength(0))
+        self.assertThat(hooks.messages, Equals([LogPersisted('one', 1)]))
+
+    async def async_write(self) -> Hooks:
+        hooks = Hooks()
+        loop = asyncio.get_running_loop()
+        storage = Storage(self.path, hooks, loop, GROUPS)
+        storage._folder.open('id', GROUPS)
+        full = [DiskFullError('no room'), LogPersisted('one', 1)]
+        with mock.patch.object(DataFolder, 'execute', side_effect=full):
+            storage.persist(WRITE)
+            await hooks.done.wait()
+        await storage.async_close()
+        return hooks
