Use more of the budget for repeats; let a dead route hold no host back

Change: 85 % of the budget, but a host that just started gets its share of the slack over one window, for its last process may have used it; half of the single routes suffice for readiness, and 1.5 s.

--- a/snipejunction/components/gateway/budget.py
+++ b/snipejunction/components/gateway/budget.py
@@ -30,11 +30,12 @@
     the slack, so that all hosts together keep the limits without talking.
     """
 
-    __slots__ = ('_limits', '_repeats', '_requests')
+    __slots__ = ('_limits', '_repeats', '_requests', '_started')
 
-    def __init__(self, limits: RepeatLimits) -> None:
-        """Create an unused budget."""
+    def __init__(self, limits: RepeatLimits, started: float) -> None:
+        """Create the unused budget of a host that started then."""
         self._limits = limits
+        self._started = started
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
 
@@ -48,11 +49,16 @@
         self._repeats.append(now)
 
     def left(self, hosts: int, now: float) -> float:
-        """Return how many repeats are left among ``hosts`` hosts."""
+        """Return how many repeats are left among ``hosts`` hosts.
+
+        A host that just started has none of the slack at first: its last
+        process may have used it within the same window.
+        """
+        age = min(1.0, (now - self._started) / self._limits.window)
         self._expire(self._requests, now)
         self._expire(self._repeats, now)
         allowed = len(self._requests) * self._limits.ratio
-        allowed += self._limits.slack / max(1, hosts)
+        allowed += age * self._limits.slack / max(1, hosts)
         return allowed * BUDGET_SHARE - len(self._repeats)
 
     def _expire(self, times: deque[float], now: float) -> None:
--- a/snipejunction/components/gateway/const.py
+++ b/snipejunction/components/gateway/const.py
@@ -14,7 +14,7 @@
 DEADLINE_MARGIN_SECONDS: Final = 0.008
 # Share of the budget for repeats that this host uses: the rest covers hosts
 # that count with an older list of hosts.
-BUDGET_SHARE: Final = 0.7
+BUDGET_SHARE: Final = 0.85
 # Weights of a new sample in the moving averages of one searcher. Slow
 # answers weigh more: each further one is paid by a caller.
 LATENCY_WEIGHT: Final = 0.12
@@ -56,8 +56,12 @@
 # announcements, which come about once a second.
 UNPREPARED_SECONDS: Final = 1.0
 # A host with a document counts as prepared after this time, however few
-# searchers it knows, in seconds: some services may have none.
-PREPARE_SECONDS: Final = 3.0
+# searchers it knows, in seconds: searchers announce themselves about once a
+# second, and some services may have none.
+PREPARE_SECONDS: Final = 1.5
+# Share of the routes without shards that need a searcher before: a route may
+# lead to a service that is no longer there.
+PREPARED_SHARE: Final = 0.5
 # Searchers that may turn one part away, beyond the attempts of its route.
 MAX_REFUSED_ARRIVALS: Final = 2
 # Sends of one part in all: a service may have more dead addresses than it is
--- a/snipejunction/components/gateway/readiness.py
+++ b/snipejunction/components/gateway/readiness.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
-from snipejunction.components.gateway.const import PREPARE_SECONDS
-from snipejunction.components.gateway.document import Route
+from snipejunction.components.gateway.const import (
+    PREPARE_SECONDS,
+    PREPARED_SHARE,
+)
+from snipejunction.components.gateway.document import Document, Route
 from snipejunction.components.gateway.tables import GatewayTable
 
 
@@ -17,11 +20,20 @@
         return table.is_prepared
     if now >= table.document_at + PREPARE_SECONDS:
         table.is_prepared = True
-    elif all(_has_searchers(route, table) for route in document.routes):
-        table.is_prepared = True
+    else:
+        table.is_prepared = _knows_enough(document, table)
     return table.is_prepared
 
 
+def _knows_enough(document: Document, table: GatewayTable) -> bool:
+    merged = [route for route in document.routes if route.shards]
+    if not all(_has_searchers(route, table) for route in merged):
+        return False
+    single = [route for route in document.routes if not route.shards]
+    served = sum(_has_searchers(route, table) for route in single)
+    return served >= len(single) * PREPARED_SHARE
+
+
 def _has_searchers(route: Route, table: GatewayTable) -> bool:
     services = route.shards
     if not services:
--- a/snipejunction/components/gateway/tables.py
+++ b/snipejunction/components/gateway/tables.py
@@ -38,6 +38,7 @@
         'region',
         'regions',
         'routes',
+        'started',
         'times',
         'upstreams',
         'upstreams_by_service',
@@ -50,14 +51,16 @@
         regions: dict[str, str],
         limits: RepeatLimits,
         random: Random,
+        started: float,
     ) -> None:
-        """Create the tables of a host that knows nothing yet."""
+        """Create the tables of a host that starts at a monotonic time."""
         self.name = name
         self.data_centre = data_centre
         self.regions = regions
         self.region = regions.get(data_centre, data_centre)
         self.limits = limits
         self.random = random
+        self.started = started
         self.document: Document | None = None
         self.document_at = 0.0
         self.is_prepared = False
@@ -96,7 +99,7 @@
         """Return the budget of a service."""
         budget = self.budgets.get(service)
         if budget is None:
-            budget = RepeatBudget(self.limits)
+            budget = RepeatBudget(self.limits, self.started)
             self.budgets[service] = budget
         return budget
 
--- a/snipejunction/edge/gateway/gateway_host.py
+++ b/snipejunction/edge/gateway/gateway_host.py
@@ -79,6 +79,7 @@
             profile.regions,
             profile.repeat_limits,
             Random(seed),
+            loop.time(),
         )
         self.pool = SearcherPool(dialect, loop)
         self.metrics = ServiceMetrics()
--- a/tests/components/gateway/test_run.py
+++ b/tests/components/gateway/test_run.py
@@ -213,6 +213,14 @@
         self.assertThat(self.advance(self.served.next_due()), HasLength(0))
         self.assertThat(self.events, Equals([947, 948]))
 
+    def test_slack_after_a_start(self) -> None:
+        """A restart does not give a host its slack twice in one window."""
+        table = make_table(started=100.0)
+        budget = table.budget('s')
+        self.assertThat(budget.left(1, 100), Equals(0))
+        self.assertThat(budget.left(1, 105), LessThan(60 / 2))
+        self.assertThat(budget.left(1, 111), GreaterThan(60 * 0.8))
+
     def test_share_of_each_host(self) -> None:
         """All hosts together keep the limits."""
         table = make_table()
