Log requests that are turned away before they become one

Lines about searchers from other entry hosts hid the own ones.

Change: event 950 with the id, the reason, the version held and the number of control hosts in reach; explain takes lines about searchers from the own host and from control hosts only. The operators' page is docs/OPERATIONS.md.

--- a/snipejunction/cli/exit_codes.py
+++ b/snipejunction/cli/exit_codes.py
@@ -1,4 +1,4 @@
-"""Exit codes of the program; docs/OPERATING.md lists them."""
+"""Exit codes of the program; docs/OPERATIONS.md lists them."""
 
 from __future__ import annotations
 
--- a/snipejunction/cli/explain.py
+++ b/snipejunction/cli/explain.py
@@ -26,6 +26,8 @@
 _HOST: Final = 'host'
 # Streams lost and opened, drains and documents: what a host believes.
 _BELIEF_EVENTS: Final = frozenset((800, 802, 803, 812, 910, 911, 940, 943))
+# What control hosts heard of searchers.
+_CONTROL_EVENTS: Final = frozenset((920, 921, 922))
 
 
 def run_explain(arguments: argparse.Namespace) -> int:
@@ -83,9 +85,10 @@
 def _is_belief(line: Line, hosts: set[str], searchers: set[str]) -> bool:
     if line.get(_REQUEST):
         return False
-    if line.get(_SEARCHER) in searchers:
-        return True
-    return line[_HOST] in hosts and line['event'] in _BELIEF_EVENTS
+    is_of_searcher = line.get(_SEARCHER) in searchers
+    if line[_HOST] in hosts:
+        return is_of_searcher or line['event'] in _BELIEF_EVENTS
+    return is_of_searcher and line['event'] in _CONTROL_EVENTS
 
 
 def _tell(line: Line, last: float, is_own: bool) -> str:
@@ -93,7 +96,7 @@
     offset = (line[_TIME] - last) * _MILLISECONDS
     extra = ', '.join(
         f'{name} {line[name]}'
-        for name in ('lacking', 'news_age', 'left_ms', 'left_out')
+        for name in ('lacking', 'news_age', 'left_ms', 'controls', 'left_out')
         if name in line
     )
     tail = f' [{extra}]' if extra else ''
--- a/snipejunction/components/gateway/const.py
+++ b/snipejunction/components/gateway/const.py
@@ -110,6 +110,12 @@
     'request {request}: {reason} of {service} after {ms} ms at {searcher}, '
     'now at {second}, budget left {budget}',
 )
+EVENT_TURNED_AWAY: Final = EventKind(
+    950,
+    'warning',
+    'request {request} to {asked_host}{path} is turned away with {status}: '
+    '{reason}, document {version}',
+)
 EVENT_SEARCHER_SUSPECT: Final = EventKind(
     947,
     'warning',
--- a/snipejunction/edge/gateway/gateway_host.py
+++ b/snipejunction/edge/gateway/gateway_host.py
@@ -8,7 +8,10 @@
 from typing import Final
 
 from snipejunction.commands import LogEvent
-from snipejunction.components.gateway.const import UNPREPARED_SECONDS
+from snipejunction.components.gateway.const import (
+    EVENT_TURNED_AWAY,
+    UNPREPARED_SECONDS,
+)
 from snipejunction.components.gateway.learning import (
     ReadDocument,
     forget_gone,
@@ -229,17 +232,17 @@
     def _serve(self, request: CallerRequest) -> None:
         document = self.table.document
         if document is None:
-            self._refuse(request, _UNAVAILABLE)
+            self._refuse(request, _UNAVAILABLE, 'no document yet')
             return
         request_id = request.header(self.dialect.request_id)
         host = request.header(b'host').decode('latin-1')
         path = request.target.partition(b'?')[0].decode('latin-1')
         route = self.table.routes.find(host, path)
         if route is None:
-            self._refuse(request, _NOT_FOUND)
+            self._refuse(request, _NOT_FOUND, 'no route')
             return
         if not request_id:
-            self._refuse(request, _BAD_REQUEST)
+            self._refuse(request, _BAD_REQUEST, 'no request id')
             return
         now = self._loop.time()
         run = RequestRun(
@@ -259,11 +262,30 @@
             return min(int(stated) / _MILLISECONDS, timeout)
         return timeout
 
-    def _refuse(self, request: CallerRequest, status: int) -> None:
+    def _refuse(
+        self,
+        request: CallerRequest,
+        status: int,
+        reason: str,
+    ) -> None:
         headers = []
         if status == _UNAVAILABLE:
             headers = [(b'retry-after', b'%.2f' % UNPREPARED_SECONDS)]
         self.metrics.note_refusal(status)
+        document = self.table.document
+        request_id = request.header(self.dialect.request_id)
+        self.log(
+            LogEvent(
+                EVENT_TURNED_AWAY,
+                request=request_id.decode('latin-1'),
+                asked_host=request.header(b'host').decode('latin-1'),
+                path=request.target.decode('latin-1'),
+                status=status,
+                reason=reason,
+                version=0 if document is None else document.version,
+                controls=len(self.link.peers.connected),
+            ),
+        )
         request.respond(status, headers, b'')
 
     def _keep_forgetting(self) -> None:
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -33,6 +33,8 @@
     line(100.1, 942, 'i-9 is ready', searcher='i-9'),
     line(100.2, 803, 'no stream with c1', peer='c1'),
     line(100.3, 803, 'elsewhere', host='10.0.0.2:7001'),
+    line(100.4, 947, 'elsewhere', host='10.0.0.2:7001', searcher='i-1'),
+    line(100.5, 922, 'i-2 is silent', host='c:1', searcher='i-2'),
     line(101.02, 946, 'late part', request='r', searcher='i-1', second='i-2'),
     line(101.0, 944, 'other request', request='q', searcher='i-1'),
     line(101.2, 945, 'r failed', request='r', lacking=['s: i-1 open']),
@@ -52,6 +54,7 @@
                 [
                     'i-1 is ready',
                     'no stream with c1',
+                    'i-2 is silent',
                     'late part',
                     "r failed [lacking ['s: i-1 open']]",
                 ],
--- a/tests/docs/test_operating.py
+++ b/tests/docs/test_operations.py
@@ -1,4 +1,4 @@
-"""Holds docs/OPERATING.md against the code that it speaks of."""
+"""Holds docs/OPERATIONS.md against the code that it speaks of."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 from snipejunction.components import all_systems
 from snipejunction.edge import host
 
-_PAGE = Path(__file__).parents[2] / 'docs' / 'OPERATING.md'
+_PAGE = Path(__file__).parents[2] / 'docs' / 'OPERATIONS.md'
 _ROW = re.compile(r'^\| ([^|]*) \|', re.MULTILINE)
 _CODE = re.compile('`([a-z_]+)`')
 _COMMAND = re.compile(r'^ +snipejunction (.*)$', re.MULTILINE)
