--- /dev/null
+++ b/tests/processes/platform_harness.py
@@ -0,0 +1,183 @@
+"""Processes of the platform's roles on loopback, and a searcher for them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+import sys
+from asyncio.subprocess import DEVNULL, Process
+from contextlib import AsyncExitStack
+from pathlib import Path
+from types import MappingProxyType
+from typing import Any
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+from snipejunction.platform import names
+
+ROOT = Path(__file__).parents[2]
+ZONES = ('one', 'two', 'three')
+CALL_SECONDS = 2
+POLL_SECONDS = 0.02
+CONTROL = 'control'
+ENTRY = 'entry'
+# Places of the metrics of each role among the ports of a machine.
+METRICS_OFFSETS = MappingProxyType({CONTROL: 6, ENTRY: 7})
+# Ports of one machine: peers of both roles, operators, callers, readiness,
+# addresses, and the metrics of both roles.
+PORTS = 8
+
+
+def _find_ports(ips: list[str]) -> int:
+    """Return the first of some ports that are free at all addresses."""
+    for _ in range(100):
+        with socket.create_server((ips[0], 0)) as probe:
+            first = int(probe.getsockname()[1])
+        if first + PORTS < 65536 and _are_free(ips, first):
+            return first
+    raise AssertionError('no free ports')
+
+
+def _are_free(ips: list[str], first: int) -> bool:
+    try:
+        for ip in ips:
+            for port in range(first, first + PORTS):
+                socket.create_server((ip, port)).close()
+    except OSError:
+        return False
+    return True
+
+
+class Machine:
+    """One machine with both roles."""
+
+    def __init__(self, number: int, ips: list[str], port: int, folder: Path):
+        self.ip = ips[number]
+        self.zone = ZONES[number]
+        self.port = port
+        self.seeds = [f'{ip}:{port + 2}' for ip in ips]
+        self.folder = folder / self.zone
+        self.folder.mkdir()
+        self.processes: dict[str, Process] = {}
+        self.is_first_start = True
+
+    def url(self, offset: int, path: str) -> str:
+        """Return an address of the machine by the place of its port."""
+        return f'http://{self.ip}:{self.port + offset}{path}'
+
+    async def async_start(self, role: str) -> None:
+        """Start the process of a role as the deploy file does."""
+        settings = self.folder / f'{role}.toml'
+        settings.write_text(self._settings(role))
+        metrics = self.port + METRICS_OFFSETS[role]
+        environment = dict(os.environ)
+        environment[names.SETTINGS_VARIABLE] = str(settings)
+        self.processes[role] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            f'snipejunction.platform.{role}',
+            '--metrics-port',
+            str(metrics),
+            cwd=ROOT,
+            env=environment,
+            stdout=DEVNULL,
+        )
+
+    async def async_kill(self) -> None:
+        """Kill what runs on the machine."""
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+
+    def _settings(self, role: str) -> str:
+        listen = {CONTROL: ('control',), ENTRY: ('front', 'ready', 'directory')}
+        offsets = {'control': 2, 'front': 3, 'ready': 4, 'directory': 5}
+        lines = [
+            f'ip = "{self.ip}"',
+            f'zone = "{self.zone}"',
+            f'peerPortRange = [{self.port}, {self.port + 1}]',
+            f'seeds = {json.dumps(self.seeds)}',
+            f'bootstrap = {json.dumps(self.is_first_start)}',
+            'heartbeatMs = 300',
+            'newField = "ignored"',
+        ]
+        if role == CONTROL:
+            lines.append(f'dataDir = "{self.folder}/data"')
+        lines.append('[zones]')
+        lines.extend(f'{zone} = "{zone}"' for zone in ZONES)
+        lines.append('[listen]')
+        lines.extend(
+            f'{name} = "{self.ip}:{self.port + offsets[name]}"'
+            for name in listen[role]
+        )
+        lines.append('[bounds]\ngraceS = 2\nretryRatio = 0.2\nretrySlack = 60')
+        return '\n'.join(lines)
+
+
+class Site:
+    """Three machines and a client for all of their calls."""
+
+    def __init__(self, folder: Path, block: int) -> None:
+        ips = [f'127.0.{block}.{number}' for number in (1, 2, 3)]
+        port = _find_ports(ips)
+        self.machines = [
+            Machine(number, ips, port, folder) for number in range(len(ips))
+        ]
+        self._stack = AsyncExitStack()
+        self._client: ClientSession | None = None
+
+    async def __aenter__(self) -> Site:
+        timeout = ClientTimeout(CALL_SECONDS)
+        client = ClientSession(timeout=timeout)
+        self._client = await self._stack.enter_async_context(client)
+        for machine in self.machines:
+            self._stack.push_async_callback(machine.async_kill)
+            await machine.async_start(CONTROL)
+            await machine.async_start(ENTRY)
+        return self
+
+    async def __aexit__(self, *details: object) -> None:
+        await self._stack.aclose()
+
+    async def async_call(
+        self,
+        method: str,
+        url: str,
+        content: bytes = b'',
+        **headers: str,
+    ) -> tuple[int, bytes, Any]:
+        """Return status, body and headers; status 0 without an answer."""
+        named = {name.replace('_', '-'): text for name, text in headers.items()}
+        try:
+            async with self._client.request(
+                method,
+                url,
+                data=content,
+                headers=named,
+            ) as answer:
+                return answer.status, await answer.read(), answer.headers
+        except (ClientError, TimeoutError):
+            return 0, b'', {}
+
+    async def async_until(
+        self,
+        status: int,
+        method: str,
+        url: str,
+        content: bytes = b'',
+        **headers: str,
+    ) -> tuple[bytes, Any]:
+        """Call again until a status comes; the test's time bounds it."""
+        while True:
+            found, body, fields = await self.async_call(
+                method,
+                url,
+                content,
+                **headers,
+            )
+            if found == status:
+                return body, fields
+            await asyncio.sleep(POLL_SECONDS)
