Tell callers of three entry hosts in each data centre

Change: of the hosts of a data centre three are named, the same by all hosts (rendezvous); connections, the slack of the repeat budget and the charge of cold searchers are divided among the named hosts.

--- a/snipejunction/components/gateway/addressing.py
+++ b/snipejunction/components/gateway/addressing.py
@@ -12,7 +12,7 @@
     region: str,
 ) -> list[str]:
     """Return where a caller of a data centre connects, the nearest only."""
-    found = list(table.entry_records.values())
+    found = list(table.active.values())
     near = [one for one in found if one.data_centre == data_centre]
     if not near:
         near = [one for one in found if one.region == region]
--- a/snipejunction/components/gateway/budget.py
+++ b/snipejunction/components/gateway/budget.py
@@ -48,8 +48,8 @@
         """Count any further send."""
         self._repeats.append(now)
 
-    def left(self, hosts: int, now: float) -> float:
-        """Return how many repeats are left among ``hosts`` hosts.
+    def left(self, slack_share: float, now: float) -> float:
+        """Return how many repeats are left with a share of the slack.
 
         A host that just started has none of the slack at first: its last
         process may have used it within the same window.
@@ -58,7 +58,7 @@
         self._expire(self._requests, now)
         self._expire(self._repeats, now)
         allowed = len(self._requests) * self._limits.ratio
-        allowed += age * self._limits.slack / max(1, hosts)
+        allowed += age * self._limits.slack * slack_share
         return allowed * BUDGET_SHARE - len(self._repeats)
 
     def _expire(self, times: deque[float], now: float) -> None:
--- a/snipejunction/components/gateway/choosing.py
+++ b/snipejunction/components/gateway/choosing.py
@@ -85,7 +85,7 @@
     """
     if now < upstream.last_cold_send + 1 / COLD_RATE:
         return False
-    return choose(upstream.searcher_id, table.entries) == table.name
+    return choose(upstream.searcher_id, table.active) == table.name
 
 
 def _grade(upstream: Upstream, now: float) -> int:
--- a/snipejunction/components/gateway/const.py
+++ b/snipejunction/components/gateway/const.py
@@ -69,6 +69,9 @@
 MAX_SENDS: Final = 10
 # Time that a searcher may go on with work that nobody waits for, in seconds.
 ABANDON_SECONDS: Final = 0.3
+# Entry hosts of one data centre that callers are told to use: one may be lost
+# and one be restarted.
+ACTIVE_HOSTS: Final = 3
 # Addresses in one answer to a caller, which reads no more.
 MAX_ADDRESSES: Final = 64
 
--- a/snipejunction/components/gateway/run.py
+++ b/snipejunction/components/gateway/run.py
@@ -333,7 +333,7 @@
         ):
             return
         budget = self._table.budget(part.service)
-        left = budget.left(self._table.entry_count, now)
+        left = budget.left(self._table.slack_share, now)
         upstream = self._choose(part, now)
         # What reached no searcher is no load on any: the next send is the
         # first arrival.
--- a/snipejunction/components/gateway/tables.py
+++ b/snipejunction/components/gateway/tables.py
@@ -9,16 +9,22 @@
     HostsFed,
 )
 from snipejunction.components.gateway.budget import RepeatBudget, RepeatLimits
-from snipejunction.components.gateway.const import HEDGE_QUANTILE
+from snipejunction.components.gateway.const import (
+    ACTIVE_HOSTS,
+    HEDGE_QUANTILE,
+)
 from snipejunction.components.gateway.document import Document, Service
 from snipejunction.components.gateway.routing import RouteIndex
 from snipejunction.components.gateway.timing import QuantileWindow
 from snipejunction.components.gateway.upstreams import Upstream
+from snipejunction.helpers.rendezvous import rank
 
 
 class GatewayTable:
     """All that an entry host knows; its systems read and change it.
 
+    ``active`` are the entry hosts that callers are told to use, by name.
+
     ``regions`` are the regions of data centres by name; ``out`` says for
     each data centre that was ever drained whether it is out.
     """
@@ -28,8 +34,7 @@
         'data_centre',
         'document',
         'document_at',
-        'entry_count',
-        'entry_records',
+        'active',
         'hosts_by_sender',
         'index',
         'is_prepared',
@@ -70,8 +75,7 @@
         self.index = 0
         self.out: dict[str, bool] = {}
         self.hosts_by_sender: dict[str, HostsFed] = {}
-        self.entry_records: dict[str, EntryRecord] = {}
-        self.entry_count = 1
+        self.active: dict[str, EntryRecord] = {}
         self.upstreams: dict[str, Upstream] = {}
         self.upstreams_by_service: dict[str, dict[str, Upstream]] = {}
         self.budgets: dict[str, RepeatBudget] = {}
@@ -86,18 +90,38 @@
         return controls
 
     @property
-    def entries(self) -> set[str]:
-        """Return the names of all entry hosts that take work."""
-        return {self.name, *self.entry_records}
+    def is_active(self) -> bool:
+        """Return whether callers are told to use this host."""
+        return self.name in self.active
+
+    @property
+    def slack_share(self) -> float:
+        """Return this host's share of the slack of all budgets.
+
+        Hosts that callers do not use have none.
+        """
+        return 1 / len(self.active) if self.is_active else 0
 
     def note_hosts(self) -> None:
-        """Gather the entry hosts that any control host names."""
-        self.entry_records = {
+        """Gather the entry hosts that any control host names.
+
+        Callers are told of a few in each data centre only: their connections
+        to searchers stay open, and there are enough for each.
+        """
+        records = {
             record.name: record
             for fed in self.hosts_by_sender.values()
             for record in fed.entries
         }
-        self.entry_count = len(self.entries)
+        names_by_place: dict[str, list[str]] = {}
+        for record in records.values():
+            names = names_by_place.setdefault(record.data_centre, [])
+            names.append(record.name)
+        self.active = {
+            name: records[name]
+            for data_centre, names in names_by_place.items()
+            for name in rank(data_centre, names)[:ACTIVE_HOSTS]
+        }
 
     def budget(self, service: str) -> RepeatBudget:
         """Return the budget of a service."""
@@ -126,4 +150,4 @@
         known = self.service(service)
         if known is None:
             return 1
-        return max(1, known.max_connections // self.entry_count)
+        return max(1, known.max_connections // max(1, len(self.active)))
--- a/snipejunction/edge/gateway/gateway_host.py
+++ b/snipejunction/edge/gateway/gateway_host.py
@@ -183,8 +183,8 @@
         table = self.table
         now = self._loop.time()
         document = table.document
-        hosts = table.entry_count
-        budgets = [one.left(hosts, now) for one in table.budgets.values()]
+        share = table.slack_share
+        budgets = [one.left(share, now) for one in table.budgets.values()]
         upstreams = table.upstreams.values()
         return {
             'document_version': (
@@ -196,7 +196,10 @@
                 'Streams to control hosts.',
                 len(self.link.peers.connected),
             ),
-            'entry_hosts': ('Entry hosts that are known.', hosts),
+            'active_hosts': (
+                'Entry hosts that callers are told to use.',
+                len(table.active),
+            ),
             'searchers': ('Searchers that are known.', len(upstreams)),
             'searchers_silent': (
                 'Searchers that no control host hears.',
--- a/tests/components/gateway/stage.py
+++ b/tests/components/gateway/stage.py
@@ -42,7 +42,11 @@
 ) -> GatewayTable:
     """Return the tables of a host in the data centre ``near``."""
     limits = RepeatLimits(ratio, 60, 10)
-    return GatewayTable(name, 'near', dict(REGIONS), limits, Random(1), started)
+    table = GatewayTable(
+        name, 'near', dict(REGIONS), limits, Random(1), started
+    )
+    name_entries(table, [name])
+    return table
 
 
 def make_route(name: str = 'r', **fields) -> Route:
--- a/tests/components/gateway/test_addressing.py
+++ b/tests/components/gateway/test_addressing.py
@@ -62,3 +62,23 @@
         """A host that stops is named no more."""
         self.tell('c2')
         self.assertThat(self.found('near', 'one'), Equals(['a:80']))
+
+    def test_few_of_many(self) -> None:
+        """A few hosts of a data centre are named, the same by all hosts."""
+        hosts = [(f'h{number}', 'near', 'one') for number in range(14)]
+        self.tell('c1', *hosts)
+        found = self.found('near', 'one')
+        self.assertThat(len(found), Equals(3))
+        self.tell('c1', *reversed(hosts))
+        self.assertThat(self.found('near', 'one'), Equals(found))
+
+    def test_successor_of_a_lost_host(self) -> None:
+        """When a named host is lost, another takes its place."""
+        hosts = [(f'h{number}', 'near', 'one') for number in range(14)]
+        self.tell('c1', *hosts)
+        found = self.found('near', 'one')
+        lost = found[0].partition(':')[0]
+        self.tell('c1', *(host for host in hosts if host[0] != lost))
+        after = self.found('near', 'one')
+        self.assertThat(len(after), Equals(3))
+        self.assertThat(len(set(after) & set(found)), Equals(2))
--- a/tests/components/gateway/test_run.py
+++ b/tests/components/gateway/test_run.py
@@ -223,14 +223,27 @@
 
     def test_share_of_each_host(self) -> None:
         """All hosts together keep the limits."""
+        names = [f'10.0.0.{number}:7001' for number in range(1, 11)]
+        total = 0.0
+        for name in names:
+            table = make_table(name)
+            name_entries(table, names)
+            budget = table.budget('s')
+            for _ in range(100):
+                budget.note_request(10)
+            total += budget.left(table.slack_share, 10)
+        self.assertThat(total, LessThan(1000 * 0.2 + 60))
+        self.assertThat(total, GreaterThan(1000 * 0.2 * 0.7))
+
+    def test_requests_expire(self) -> None:
+        """Requests before the window give nothing."""
         table = make_table()
-        name_entries(table, [f'10.0.0.{one}:7001' for one in range(1, 11)])
         budget = table.budget('s')
         for _ in range(100):
             budget.note_request(10)
-        left = budget.left(len(table.entries), 10)
-        self.assertThat(left * 10, LessThan(1000 * 0.2 + 60))
-        self.assertThat(budget.left(10, 21), LessThan(left))
+        before = budget.left(table.slack_share, 10)
+        after = budget.left(table.slack_share, 21)
+        self.assertThat(after, LessThan(before))
 
 
 class HedgeTimeTest(RunCase):
