Split the run of a request into parts, answers and decisions

Orders and reads are passed on to a leader by one function. Addresses are kept no longer than the settings say.

--- a/snipejunction/components/deployment/systems/orders.py
+++ b/snipejunction/components/deployment/systems/orders.py
@@ -49,17 +49,12 @@
         yield OrderAnswered(message.call_id, True)
     elif _propose(replica, encode(entry), message.call_id, '', node):
         yield Deliver(FlushLog(GROUP_DEPLOYMENT))
-    elif replica.leader_name in {None, node.name}:
+    elif _other_leader(replica, node):
+        forwarded = OrderForwarded(message.call_id, encode(entry))
+        yield from _pass_on(forwarded, replica)
+    else:
         yield LogEvent(EVENT_ORDER_UNPLACED, call_id=message.call_id)
         yield OrderAnswered(message.call_id, False)
-    else:
-        leader = str(replica.leader_name)
-        yield LogEvent(
-            EVENT_ORDER_PASSED_ON,
-            call_id=message.call_id,
-            leader=leader,
-        )
-        yield SendPeer(leader, OrderForwarded(message.call_id, encode(entry)))
 
 
 @handle.register
@@ -99,12 +94,11 @@
     replica = _replica(node)
     if _confirm(replica, message.call_id, '', node):
         yield Deliver(FlushLog(GROUP_DEPLOYMENT))
-    elif replica.leader_name in {None, node.name}:
+    elif _other_leader(replica, node):
+        yield from _pass_on(ReadForwarded(message.call_id), replica)
+    else:
         yield LogEvent(EVENT_ORDER_UNPLACED, call_id=message.call_id)
         yield ReadAnswered(message.call_id, 0, None)
-    else:
-        leader = str(replica.leader_name)
-        yield SendPeer(leader, ReadForwarded(message.call_id))
 
 
 @handle.register
@@ -146,6 +140,24 @@
     return iter(())
 
 
+def _other_leader(replica: Replica, node: Node) -> bool:
+    """Return whether another host is known to lead."""
+    return replica.leader_name not in {None, node.name}
+
+
+def _pass_on(
+    message: OrderForwarded | ReadForwarded,
+    replica: Replica,
+) -> Iterator[Command]:
+    leader = str(replica.leader_name)
+    yield LogEvent(
+        EVENT_ORDER_PASSED_ON,
+        call_id=message.call_id,
+        leader=leader,
+    )
+    yield SendPeer(leader, message)
+
+
 def _is_held(entry: DocumentEntry | DrainEntry, node: Node) -> bool:
     if not isinstance(entry, DocumentEntry):
         return False
--- /dev/null
+++ b/snipejunction/components/gateway/answers.py
@@ -0,0 +1,99 @@
+"""What a caller gets for the parts of its request."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Final
+
+from snipejunction.components.gateway.const import RETRY_AFTER_SECONDS
+from snipejunction.components.gateway.document import Route
+from snipejunction.components.gateway.merging import merge_records
+from snipejunction.components.gateway.parts import Part
+from snipejunction.components.gateway.replies import Answer, Outcome, Reply
+
+STATUS_OK: Final = 200
+STATUS_BAD_GATEWAY: Final = 502
+STATUS_UNAVAILABLE: Final = 503
+STATUS_GATEWAY_TIMEOUT: Final = 504
+
+
+def make_refusal(parts: int) -> Answer:
+    """Return the answer to a request that nobody was asked for."""
+    return Answer(
+        STATUS_UNAVAILABLE,
+        cause='too few searchers can be asked',
+        retry_after=RETRY_AFTER_SECONDS,
+        parts=parts,
+    )
+
+
+def make_success(route: Route, parts: Sequence[Part]) -> Answer:
+    """Return the one reply as it is, or the merged replies."""
+    replies = [part.reply for part in parts if part.reply]
+    if not route.shards:
+        reply = replies[0]
+        return Answer(
+            reply.status,
+            headers=reply.headers,
+            body=reply.body,
+            covered=1,
+            parts=1,
+        )
+    return Answer(
+        STATUS_OK,
+        body=merge_records((reply.body for reply in replies), route.top),
+        signatures=[reply.signature for reply in replies],
+        missing=len(parts) - len(replies),
+        covered=len(replies),
+        parts=len(parts),
+    )
+
+
+def make_failure(
+    route: Route,
+    parts: Sequence[Part],
+    *,
+    is_late: bool,
+) -> Answer:
+    """Return a searcher's own failure, or what this host can say."""
+    failures = [part.failure for part in parts if part.failure]
+    cause = _cause_of(failures)
+    reply = None if is_late else _own_failure(route, failures)
+    if reply is not None:
+        return Answer(
+            reply.status,
+            headers=reply.headers,
+            body=reply.body,
+            cause='the searcher answered with a failure',
+            parts=len(parts),
+        )
+    covered = sum(part.reply is not None for part in parts)
+    if any(part.ran or part.is_waiting for part in parts):
+        status = STATUS_GATEWAY_TIMEOUT if is_late else STATUS_BAD_GATEWAY
+        return Answer(status, cause=cause, covered=covered, parts=len(parts))
+    # Only here it is certain that nothing ran.
+    return Answer(
+        STATUS_UNAVAILABLE,
+        cause=cause,
+        retry_after=RETRY_AFTER_SECONDS,
+        covered=covered,
+        parts=len(parts),
+    )
+
+
+def _own_failure(
+    route: Route,
+    failures: Sequence[Outcome],
+) -> Reply | None:
+    """Return the signed failure of the only searcher that was needed."""
+    if route.shards or not failures:
+        return None
+    reply = failures[-1].reply
+    return reply if reply is not None and reply.signature else None
+
+
+def _cause_of(failures: Sequence[Outcome]) -> str:
+    if not failures:
+        return 'no answer in time'
+    details = {f'{one.fate.value} {one.detail}'.strip() for one in failures}
+    return ', '.join(sorted(details))
--- /dev/null
+++ b/snipejunction/components/gateway/parts.py
@@ -0,0 +1,79 @@
+"""Parts of a request and the attempts to get them."""
+
+from __future__ import annotations
+
+from snipejunction.commands import Command
+from snipejunction.components.gateway.replies import Outcome, Reply
+from snipejunction.components.gateway.upstreams import Upstream
+
+
+class Attempt:
+    """One send of a part to a searcher; times are monotonic seconds."""
+
+    __slots__ = ('is_open', 'part', 'sent_at', 'upstream')
+
+    def __init__(self, part: Part, upstream: Upstream, now: float) -> None:
+        """Create an attempt that starts at ``now``."""
+        self.part = part
+        self.upstream = upstream
+        self.sent_at = now
+        self.is_open = True
+
+    @property
+    def is_repeat(self) -> bool:
+        """Return whether the part was sent before."""
+        return self.part.attempts[0] is not self
+
+
+class Part:
+    """What one service has to contribute to an answer."""
+
+    __slots__ = (
+        'arrived',
+        'attempts',
+        'failure',
+        'has_hedged',
+        'ran',
+        'reply',
+        'service',
+    )
+
+    def __init__(self, service: str) -> None:
+        """Create a part that nobody was asked for."""
+        self.service = service
+        self.attempts: list[Attempt] = []
+        self.reply: Reply | None = None
+        self.failure: Outcome | None = None
+        self.has_hedged = False
+        # Searchers at which it ran or may have run, and those that it
+        # reached or may have reached.
+        self.ran = 0
+        self.arrived = 0
+
+    @property
+    def open_attempts(self) -> list[Attempt]:
+        """Return the attempts without an outcome."""
+        return [attempt for attempt in self.attempts if attempt.is_open]
+
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether a reply may still come."""
+        if self.reply is not None:
+            return False
+        return any(attempt.is_open for attempt in self.attempts)
+
+    @property
+    def tried_ids(self) -> set[str]:
+        """Return the searchers that were asked."""
+        return {attempt.upstream.searcher_id for attempt in self.attempts}
+
+
+class SendAttempt(Command):
+    """Send a part to the searcher of an attempt."""
+
+    __slots__ = ('attempt', 'deadline')
+
+    def __init__(self, attempt: Attempt, deadline: float) -> None:
+        """Create a command; ``deadline`` is in monotonic seconds."""
+        self.attempt = attempt
+        self.deadline = deadline
--- a/snipejunction/components/gateway/run.py
+++ b/snipejunction/components/gateway/run.py
@@ -6,6 +6,11 @@
 from typing import Final
 
 from snipejunction.commands import Command, LogEvent
+from snipejunction.components.gateway.answers import (
+    make_failure,
+    make_refusal,
+    make_success,
+)
 from snipejunction.components.gateway.choosing import choose_upstream
 from snipejunction.components.gateway.const import (
     ANSWER_MARGIN_SECONDS,
@@ -19,10 +24,13 @@
     MAX_REFUSED_ARRIVALS,
     MAX_SENDS,
     MIN_HEDGE_SECONDS,
-    RETRY_AFTER_SECONDS,
 )
 from snipejunction.components.gateway.document import Route
-from snipejunction.components.gateway.merging import merge_records
+from snipejunction.components.gateway.parts import (
+    Attempt,
+    Part,
+    SendAttempt,
+)
 from snipejunction.components.gateway.replies import (
     Answer,
     Fate,
@@ -35,85 +43,9 @@
 from snipejunction.components.registration.const import GONE
 from snipejunction.timers import NEVER
 
-STATUS_OK: Final = 200
-STATUS_BAD_GATEWAY: Final = 502
-STATUS_UNAVAILABLE: Final = 503
-STATUS_GATEWAY_TIMEOUT: Final = 504
 _MILLISECONDS: Final = 1000
 
 
-class Attempt:
-    """One send of a part to a searcher; times are monotonic seconds."""
-
-    __slots__ = ('is_open', 'part', 'sent_at', 'upstream')
-
-    def __init__(self, part: Part, upstream: Upstream, now: float) -> None:
-        """Create an attempt that starts at ``now``."""
-        self.part = part
-        self.upstream = upstream
-        self.sent_at = now
-        self.is_open = True
-
-    @property
-    def is_repeat(self) -> bool:
-        """Return whether the part was sent before."""
-        return self.part.attempts[0] is not self
-
-
-class Part:
-    """What one service has to contribute to an answer."""
-
-    __slots__ = (
-        'arrived',
-        'attempts',
-        'failure',
-        'has_hedged',
-        'ran',
-        'reply',
-        'service',
-    )
-
-    def __init__(self, service: str) -> None:
-        """Create a part that nobody was asked for."""
-        self.service = service
-        self.attempts: list[Attempt] = []
-        self.reply: Reply | None = None
-        self.failure: Outcome | None = None
-        self.has_hedged = False
-        # Searchers at which it ran or may have run, and those that it
-        # reached or may have reached.
-        self.ran = 0
-        self.arrived = 0
-
-    @property
-    def open_attempts(self) -> list[Attempt]:
-        """Return the attempts without an outcome."""
-        return [attempt for attempt in self.attempts if attempt.is_open]
-
-    @property
-    def is_waiting(self) -> bool:
-        """Return whether a reply may still come."""
-        if self.reply is not None:
-            return False
-        return any(attempt.is_open for attempt in self.attempts)
-
-    @property
-    def tried_ids(self) -> set[str]:
-        """Return the searchers that were asked."""
-        return {attempt.upstream.searcher_id for attempt in self.attempts}
-
-
-class SendAttempt(Command):
-    """Send a part to the searcher of an attempt."""
-
-    __slots__ = ('attempt', 'deadline')
-
-    def __init__(self, attempt: Attempt, deadline: float) -> None:
-        """Create a command; ``deadline`` is in monotonic seconds."""
-        self.attempt = attempt
-        self.deadline = deadline
-
-
 class RequestRun:
     """Decides about one request until its answer is there.
 
@@ -178,12 +110,7 @@
             if upstream is not None:
                 chosen.append((part, upstream))
         if not self._suffices(len(chosen)):
-            self.answer = Answer(
-                STATUS_UNAVAILABLE,
-                cause='too few searchers can be asked',
-                retry_after=RETRY_AFTER_SECONDS,
-                parts=len(self.parts),
-            )
+            self.answer = make_refusal(len(self.parts))
             return
         for part, upstream in chosen:
             self._table.budget(part.service).note_request(now)
@@ -399,60 +326,14 @@
             if not (is_time and self._suffices(self.covered)):
                 return
         if self._suffices(self.covered):
-            self.answer = self._success()
+            self.answer = make_success(self._route, self.parts)
         else:
-            self.answer = self._failure(is_late=now >= self.deadline)
-
-    def _success(self) -> Answer:
-        replies = [part.reply for part in self.parts if part.reply]
-        if not self._route.shards:
-            reply = replies[0]
-            return Answer(
-                reply.status,
-                headers=reply.headers,
-                body=reply.body,
-                covered=1,
-                parts=1,
+            is_late = now >= self.deadline
+            self.answer = make_failure(
+                self._route,
+                self.parts,
+                is_late=is_late,
             )
-        body = merge_records(
-            (reply.body for reply in replies),
-            self._route.top,
-        )
-        return Answer(
-            STATUS_OK,
-            body=body,
-            signatures=[reply.signature for reply in replies],
-            missing=len(self.parts) - len(replies),
-            covered=len(replies),
-            parts=len(self.parts),
-        )
-
-    def _failure(self, *, is_late: bool) -> Answer:
-        covered = self.covered
-        parts = len(self.parts)
-        failures = [part.failure for part in self.parts if part.failure]
-        cause = _cause_of(failures)
-        if not self._route.shards and failures:
-            reply = failures[-1].reply
-            if reply is not None and reply.signature and not is_late:
-                return Answer(
-                    reply.status,
-                    headers=reply.headers,
-                    body=reply.body,
-                    cause='the searcher answered with a failure',
-                    parts=parts,
-                )
-        has_run = any(part.ran or part.is_waiting for part in self.parts)
-        if has_run:
-            status = STATUS_GATEWAY_TIMEOUT if is_late else STATUS_BAD_GATEWAY
-            return Answer(status, cause=cause, covered=covered, parts=parts)
-        return Answer(
-            STATUS_UNAVAILABLE,
-            cause=cause,
-            retry_after=RETRY_AFTER_SECONDS,
-            covered=covered,
-            parts=parts,
-        )
 
 
 def _suspect(upstream: Upstream, reason: str, now: float) -> LogEvent:
@@ -464,10 +345,3 @@
         reason=reason,
         news_age=round(now - upstream.learned_at, 1),
     )
-
-
-def _cause_of(failures: list[Outcome]) -> str:
-    if not failures:
-        return 'no answer in time'
-    details = {f'{one.fate.value} {one.detail}'.strip() for one in failures}
-    return ', '.join(sorted(details))
--- a/snipejunction/edge/gateway/forwarding.py
+++ b/snipejunction/edge/gateway/forwarding.py
@@ -14,13 +14,13 @@
     EVENT_REQUEST_FAILED,
 )
 from snipejunction.components.gateway.document import Route
-from snipejunction.components.gateway.replies import SUCCESSES, Answer, Outcome
-from snipejunction.components.gateway.run import (
+from snipejunction.components.gateway.parts import (
     Attempt,
     Part,
-    RequestRun,
     SendAttempt,
 )
+from snipejunction.components.gateway.replies import SUCCESSES, Answer, Outcome
+from snipejunction.components.gateway.run import RequestRun
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.edge.gateway.caller_connection import CallerRequest, Headers
 from snipejunction.edge.gateway.const import HOP_HEADERS
--- a/snipejunction/edge/gateway/gateway_host.py
+++ b/snipejunction/edge/gateway/gateway_host.py
@@ -100,6 +100,11 @@
     def failure(self) -> StorageError | None:
         """Return None: a host without a disk never fails by it."""
 
+    @property
+    def address_seconds(self) -> float:
+        """Return how long callers may keep addresses at most, in seconds."""
+        return self._profile.ttl_seconds
+
     @property
     def is_ready(self) -> bool:
         """Return whether the host takes new work."""
--- a/snipejunction/platform/entry.py
+++ b/snipejunction/platform/entry.py
@@ -69,7 +69,8 @@
         wanted.get('region', [''])[0],
     )
     if addresses:
-        answer = {'addrs': addresses, 'ttl_s': _KEEP_SECONDS}
+        seconds = min(_KEEP_SECONDS, host.address_seconds)
+        answer = {'addrs': addresses, 'ttl_s': seconds}
         respond_json(request, _OK, answer)
     else:
         respond_status(request, _UNAVAILABLE)
--- a/tests/components/gateway/test_run.py
+++ b/tests/components/gateway/test_run.py
@@ -6,8 +6,9 @@
 from testtools.matchers import Equals, GreaterThan, HasLength, Is, LessThan
 
 from snipejunction.commands import LogEvent
+from snipejunction.components.gateway.parts import SendAttempt
 from snipejunction.components.gateway.replies import Fate, Outcome, Reply
-from snipejunction.components.gateway.run import RequestRun, SendAttempt
+from snipejunction.components.gateway.run import RequestRun
 from tests.components.gateway.stage import (
     install,
     make_record,
