--- a/tests/components/deployment/test_orders.py
+++ b/tests/components/deployment/test_orders.py
@@ -5,7 +5,12 @@
 from testtools import TestCase
 from testtools.matchers import Equals, Is
 
-from snipejunction.components.deployment.messages import DrainEntry
+from snipejunction.components.deployment.machine import DeploymentMachine
+from snipejunction.components.deployment.messages import (
+    DocumentEntry,
+    DrainEntry,
+)
+from snipejunction.helpers.wire import encode
 from tests.components.deployment.harness import SEEDS, ControlCluster
 
 
@@ -93,3 +98,19 @@
         cluster.accept('h3', 8, b'eight')
         for name in SEEDS:
             self.assertThat(cluster.read(name).version, Equals(8))
+
+
+class MachineTest(TestCase):
+    """Entries in the order of the log."""
+
+    def test_first_content_of_a_version_holds(self) -> None:
+        """Two hosts may have proposed one version: the first one holds."""
+        cluster = ControlCluster(2)
+        leader = cluster.leader()
+        machine = DeploymentMachine()
+        for index, content in enumerate((b'first', b'other'), start=90):
+            payload = encode(DocumentEntry(5, content))
+            list(machine.apply(leader.node, index, 1, payload, cluster.now))
+        state = leader.node.deployment.state
+        self.assertThat(state.content, Equals(b'first'))
+        self.assertThat(state.index, Equals(91))
