--- a/snipejunction/components/control/replication/change_ids.py
+++ b/snipejunction/components/control/replication/change_ids.py
@@ -5,11 +5,11 @@
 from collections.abc import Iterable
 
 from snipejunction.components.control.const import CHANGE_ID_WINDOW
-from snipejunction.components.control.replication.codec import digest_of
 from snipejunction.components.control.replication.messages import (
     ChangeRecord,
     SettingsEntry,
 )
+from snipejunction.components.control.replication.codec import digest_of
 from snipejunction.const import CODE_ID_EXPIRED, CODE_ID_REUSED
 
 
--- a/snipejunction/components/owner/systems/answering.py
+++ b/snipejunction/components/owner/systems/answering.py
@@ -15,12 +15,12 @@
     SubResult,
     SubResults,
 )
-from snipejunction.components.owner.peers import RootPeer
-from snipejunction.components.owner.timer_messages import ResultsDue
 from snipejunction.components.owner.upstream_messages import (
     CancelDispatch,
     DispatchEnded,
 )
+from snipejunction.components.owner.peers import RootPeer
+from snipejunction.components.owner.timer_messages import ResultsDue
 from snipejunction.components.owner.work import OnceWork, SubWork, Work
 from snipejunction.handling import handle
 from snipejunction.node import Node
--- a/snipejunction/components/owner/systems/connecting.py
+++ b/snipejunction/components/owner/systems/connecting.py
@@ -15,15 +15,15 @@
     RESETS_UNTIL_COLD,
     SILENCES_UNTIL_COLD,
 )
-from snipejunction.components.owner.pool import Connection, ConnectionState
-from snipejunction.components.owner.searcher import Searcher
-from snipejunction.components.owner.systems.rules import may_reach
 from snipejunction.components.owner.upstream_messages import (
     CloseConnection,
     ConnectionClosed,
     ConnectionOpened,
     OpenConnection,
 )
+from snipejunction.components.owner.pool import Connection, ConnectionState
+from snipejunction.components.owner.searcher import Searcher
+from snipejunction.components.owner.systems.rules import may_reach
 from snipejunction.node import Node
 
 
--- a/snipejunction/components/owner/systems/dispatching.py
+++ b/snipejunction/components/owner/systems/dispatching.py
@@ -17,6 +17,7 @@
     SUSPECT_FLOOR_SECONDS,
     UNPROVEN_SUSPECT_FLOOR_SECONDS,
 )
+from snipejunction.components.owner.upstream_messages import DispatchSub
 from snipejunction.components.owner.searcher import Dispatch, Searcher
 from snipejunction.components.owner.systems.answering import refuse
 from snipejunction.components.owner.systems.connecting import keep_connections
@@ -32,7 +33,6 @@
     QueueDue,
     SuspectDue,
 )
-from snipejunction.components.owner.upstream_messages import DispatchSub
 from snipejunction.components.owner.work import Work
 from snipejunction.const import CODE_DEADLINE, CODE_OVERLOAD
 from snipejunction.handling import handle
--- a/snipejunction/components/owner/systems/finishing.py
+++ b/snipejunction/components/owner/systems/finishing.py
@@ -21,6 +21,11 @@
     MAX_PAYLOAD_BYTES,
     MAX_REST_SECONDS,
 )
+from snipejunction.components.owner.upstream_messages import (
+    ConnectionClosed,
+    ConnectionOpened,
+    DispatchEnded,
+)
 from snipejunction.components.owner.searcher import Dispatch
 from snipejunction.components.owner.systems.answering import refuse, succeed
 from snipejunction.components.owner.systems.connecting import (
@@ -42,11 +47,6 @@
     note_boot,
 )
 from snipejunction.components.owner.systems.rules import find_refusal, may_reach
-from snipejunction.components.owner.upstream_messages import (
-    ConnectionClosed,
-    ConnectionOpened,
-    DispatchEnded,
-)
 from snipejunction.const import (
     CODE_CANCELLED,
     CODE_CONNECTION_LOST,
--- a/snipejunction/components/owner/systems/watching.py
+++ b/snipejunction/components/owner/systems/watching.py
@@ -7,6 +7,7 @@
 from snipejunction.commands import Command, LogEvent
 from snipejunction.components.directory.systems.publishing import note_change
 from snipejunction.components.owner.const import EVENT_CONNECTION_SILENT
+from snipejunction.components.owner.upstream_messages import CancelDispatch
 from snipejunction.components.owner.searcher import Dispatch
 from snipejunction.components.owner.systems.answering import refuse
 from snipejunction.components.owner.systems.connecting import (
@@ -22,7 +23,6 @@
 )
 from snipejunction.components.owner.systems.rules import may_reach
 from snipejunction.components.owner.timer_messages import SuspectDue
-from snipejunction.components.owner.upstream_messages import CancelDispatch
 from snipejunction.const import CODE_DEADLINE
 from snipejunction.handling import handle
 from snipejunction.node import Node
--- a/snipejunction/standin/fleet.py
+++ b/snipejunction/standin/fleet.py
@@ -17,6 +17,7 @@
 from snipejunction.standin.limits import Limits
 from snipejunction.standin.searcher import Held, Searcher
 
+
 # Connections over which all searchers announce themselves.
 _ANNOUNCE_CONNECTIONS: Final = 64
 
--- a/tests/components/owner/test_connecting.py
+++ b/tests/components/owner/test_connecting.py
@@ -7,11 +7,11 @@
 
 from snipejunction.components.owner.const import ENDED_LOST, ENDED_OK
 from snipejunction.components.owner.messages import AnnounceAsked
-from snipejunction.components.owner.pool import ConnectionPool
 from snipejunction.components.owner.upstream_messages import (
     ConnectionClosed,
     DispatchEnded,
 )
+from snipejunction.components.owner.pool import ConnectionPool
 from snipejunction.const import CODE_NO_CONNECTION, CODE_OVERLOAD
 from snipejunction.verdict import Verdict
 from tests.components.owner.harness import OwnerRun
--- a/tests/components/owner/test_running_once.py
+++ b/tests/components/owner/test_running_once.py
@@ -5,15 +5,15 @@
 from testtools import TestCase
 from testtools.matchers import Equals, LessThan
 
+from snipejunction.components.owner.messages import RunOnce
+from snipejunction.components.owner.upstream_messages import DispatchEnded
 from snipejunction.components.owner.const import (
     ENDED_ERROR,
     ENDED_LOST,
     ENDED_NOT_SENT,
     ENDED_SHED,
 )
-from snipejunction.components.owner.messages import RunOnce
 from snipejunction.components.owner.runs import RunMemory
-from snipejunction.components.owner.upstream_messages import DispatchEnded
 from snipejunction.const import CODE_NOT_OWNER
 from snipejunction.verdict import Verdict
 from tests.components.owner.harness import CALLER, SERVICE, OwnerRun
--- a/tests/components/owner/test_serving.py
+++ b/tests/components/owner/test_serving.py
@@ -5,9 +5,6 @@
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan, LessThan
 
-from snipejunction.components.owner.const import ENDED_LOST
-from snipejunction.components.owner.messages import SnapshotId, SubBatch
-from snipejunction.components.owner.upstream_messages import DispatchEnded
 from snipejunction.const import (
     CODE_CANCELLED,
     CODE_NO_LEASE,
@@ -15,6 +12,9 @@
     CODE_OVERLOAD,
     CODE_SNAPSHOT_NOT_HELD,
 )
+from snipejunction.components.owner.const import ENDED_LOST
+from snipejunction.components.owner.messages import SnapshotId, SubBatch
+from snipejunction.components.owner.upstream_messages import DispatchEnded
 from snipejunction.verdict import Verdict
 from tests.components.owner.harness import CALLER, SERVICE, SNAPSHOT, OwnerRun
 
--- a/tests/helpers/test_wire.py
+++ b/tests/helpers/test_wire.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools import TestCase
-from testtools.matchers import Equals, MatchesException, Raises
+from testtools.matchers import Equals, Raises, MatchesException
 
 from snipejunction.components.owner.messages import (
     SnapshotId,
