Say once what the platform's code said twice

Headers are found and filtered by one module, callers' limits are the document's own type, gauges go out with the text of the metrics, a process is found by one function and an address has one alias, states of searchers have one list of names. A first announcement and a silence went to each control host twice: the report is now sent where the belief changes, with a test that fails before. Dead: the open attempts of a run, the place of a record, an unread return value. Calls have types in place of assertions. The test of a record's place states the same values by its fields.

--- a/snipejunction/components/deployment/systems/feeding.py
+++ b/snipejunction/components/deployment/systems/feeding.py
@@ -111,7 +111,6 @@
         yield SendPeer(name, _hosts(node, now))
         feed_hosts_soon(node, now)
     elif message.takes_work != entry.presence.takes_work:
-        entry.presence = message
         takes_work = message.takes_work
         kind = EVENT_ENTRY_READY if takes_work else EVENT_ENTRY_LEAVES
         yield LogEvent(kind, name=name)
--- a/snipejunction/components/deployment/systems/recruiting.py
+++ b/snipejunction/components/deployment/systems/recruiting.py
@@ -57,14 +57,18 @@
         return
     if now >= node.deployment.presence_due:
         node.deployment.presence_due = now + PRESENCE_SECONDS
-        yield from _announce(replica, node)
+        yield from _announce(replica, node, now)
     yield from _note_cut(replica, node, now)
     leadership = replica.leadership
     if leadership is not None and may_change(replica):
         yield from _replace(replica, leadership, now)
 
 
-def _announce(replica: Replica, node: Node) -> Iterator[Command]:
+def _announce(
+    replica: Replica,
+    node: Node,
+    now: float,
+) -> Iterator[Command]:
     identity = node.identity
     own = replica.membership.current.member(replica.voter_id)
     if own is not None and own.data_centre:
@@ -80,7 +84,7 @@
             yield SendPeer(name, presence)
     if replica.is_leader:
         presence.sender = node.name
-        yield from _take_presence(presence, node, node.deployment.presence_due)
+        yield from _take_presence(presence, node, now)
 
 
 def _note_cut(replica: Replica, node: Node, now: float) -> Iterator[Command]:
--- a/snipejunction/components/gateway/document.py
+++ b/snipejunction/components/gateway/document.py
@@ -83,6 +83,11 @@
         self.min_share = min_share
         self.regions = regions
 
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Return the services of its shards, or else of its targets."""
+        return self.shards or tuple(one.service for one in self.targets)
+
 
 class Service(Record):
     """What holds for all searchers of a service.
--- a/snipejunction/components/gateway/learning.py
+++ b/snipejunction/components/gateway/learning.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-from typing import Final, TypeAlias
+from typing import TypeAlias
 
 from snipejunction.commands import Command, LogEvent
 from snipejunction.components.deployment.messages import (
@@ -20,14 +20,13 @@
 from snipejunction.components.gateway.routing import RouteIndex
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.components.gateway.upstreams import Upstream
-from snipejunction.components.registration.const import GONE
+from snipejunction.components.registration.const import GONE, STATE_NAMES
 from snipejunction.components.registration.messages import (
     SearcherNews,
     SearcherRecord,
 )
 from snipejunction.errors import SettingsError
 
-_STATE_NAMES: Final = ('ready', 'leaving', 'silent', 'gone')
 ReadDocument: TypeAlias = Callable[[bytes], Document]
 
 
@@ -126,7 +125,7 @@
                 EVENT_SEARCHER_LEARNED,
                 searcher=record.searcher_id,
                 service=record.service,
-                state=_STATE_NAMES[record.state],
+                state=STATE_NAMES[record.state],
                 sequence=record.sequence,
             )
 
--- a/snipejunction/components/gateway/readiness.py
+++ b/snipejunction/components/gateway/readiness.py
@@ -35,8 +35,6 @@
 
 
 def _has_searchers(route: Route, table: GatewayTable) -> bool:
-    services = route.shards
-    if not services:
-        services = tuple(target.service for target in route.targets)
-    found = [bool(table.upstreams_by_service.get(name)) for name in services]
+    searchers = table.upstreams_by_service
+    found = [bool(searchers.get(name)) for name in route.services]
     return sum(found) >= len(found) * route.min_share and any(found)
--- a/snipejunction/components/gateway/run.py
+++ b/snipejunction/components/gateway/run.py
@@ -98,9 +98,9 @@
         return self._covered
 
     @property
-    def open_attempts(self) -> list[Attempt]:
-        """Return all attempts without an outcome."""
-        return [one for part in self.parts for one in part.open_attempts]
+    def next_due(self) -> float:
+        """Return when ``advance`` is to be called next."""
+        return self._next_due
 
     def start(self, now: float) -> Iterator[Command]:
         """Ask one searcher for each part, or refuse the request."""
@@ -117,11 +117,6 @@
             yield self._send(part, upstream, now)
         self._schedule(now)
 
-    @property
-    def next_due(self) -> float:
-        """Return when ``advance`` is to be called next."""
-        return self._next_due
-
     def advance(self, now: float) -> Iterator[Command]:
         """Hedge late parts, and answer when the time has come."""
         if self.answer is not None:
@@ -254,10 +249,8 @@
         reason: str,
         now: float,
     ) -> Iterator[Command]:
-        if now >= self.deadline or self._open_or_ran(part) >= max(
-            self._route.attempts,
-            1,
-        ):
+        reached = part.ran + len(part.open_attempts)
+        if now >= self.deadline or reached >= self._route.attempts:
             return
         budget = self._table.budget(part.service)
         left = budget.left(self._table.slack_share, now)
@@ -289,9 +282,6 @@
         )
         yield self._send(part, upstream, now)
 
-    def _open_or_ran(self, part: Part) -> int:
-        return part.ran + len(part.open_attempts)
-
     def _learn(self, attempt: Attempt, outcome: Outcome, now: float) -> None:
         upstream = attempt.upstream
         upstream.in_flight -= 1
--- a/snipejunction/components/registration/belief.py
+++ b/snipejunction/components/registration/belief.py
@@ -66,16 +66,10 @@
             self.learned_at = now
         return is_other or self.is_silent != was_silent
 
-    def forget_sender(self, sender: str) -> bool:
-        """Drop what a lost control host said, unless it stands alone.
-
-        Return whether the belief changed.
-        """
-        if len(self.silent_by_sender) < 2:
-            return False
-        was_silent = self.is_silent
-        self.silent_by_sender.pop(sender, None)
-        return self.is_silent != was_silent
+    def forget_sender(self, sender: str) -> None:
+        """Drop what a lost control host said, unless it stands alone."""
+        if len(self.silent_by_sender) > 1:
+            self.silent_by_sender.pop(sender, None)
 
     def describe(self, state: int, now: float) -> SearcherRecord:
         """Return a record for others, with the cold time that is left."""
--- a/snipejunction/components/registration/const.py
+++ b/snipejunction/components/registration/const.py
@@ -11,6 +11,7 @@
 LEAVING: Final = 1
 SILENT: Final = 2
 GONE: Final = 3
+STATE_NAMES: Final = ('ready', 'leaving', 'silent', 'gone')
 
 # Announcements that may be missing before a searcher counts as silent.
 MISSED_ANNOUNCEMENTS: Final = 3
--- a/snipejunction/components/registration/messages.py
+++ b/snipejunction/components/registration/messages.py
@@ -53,11 +53,6 @@
         self.sequence = sequence
         self.state = state
 
-    @property
-    def place(self) -> tuple[int, int]:
-        """Return its place among all announcements of its id."""
-        return self.born_ms, self.sequence
-
 
 @wire(151)
 class SearcherNews(PeerMessage):
--- a/snipejunction/components/registration/systems/announcing.py
+++ b/snipejunction/components/registration/systems/announcing.py
@@ -22,6 +22,7 @@
     MAX_SEARCHERS,
     MISSED_ANNOUNCEMENTS,
     SILENT,
+    STATE_NAMES,
 )
 from snipejunction.components.registration.messages import (
     SearcherAnnounced,
@@ -36,7 +37,6 @@
 from snipejunction.node import Node
 
 _SWEEP_SECONDS: Final = 0.5
-_STATE_NAMES: Final = ('ready', 'leaving', 'silent', 'gone')
 
 
 def news_for_entry(name: str, node: Node, now: float) -> Iterator[Command]:
@@ -74,13 +74,10 @@
             known=known.record.sequence,
         )
         return
-    was_heard = known is not None and _is_watched(known, node)
     yield from _hear(record, node.name, node, now)
     known = node.registration.searchers.get(record.searcher_id)
     if known is not None:
         known.heard_at = now
-        if not was_heard:
-            yield from _tell_controls(known, node, now)
 
 
 def _is_stale(record: SearcherRecord, known: KnownSearcher) -> bool:
@@ -101,6 +98,8 @@
 ) -> Iterator[Command]:
     searchers = node.registration.searchers
     known = searchers.get(record.searcher_id)
+    own_before = None if known is None else _own_silence(known, node)
+    is_changed = True
     if known is None or known.is_replaced_by(record):
         if known is None and len(searchers) >= MAX_SEARCHERS:
             return
@@ -113,15 +112,23 @@
             address=record.address,
             cold_left=record.cold_left,
         )
-    elif known.hear(record, sender, now):
-        yield _state_event(known)
     else:
-        return
-    yield from _tell_entries(known, node, now)
-    if sender == node.name:
+        is_changed = known.hear(record, sender, now)
+        if is_changed:
+            yield _state_event(known)
+    if is_changed:
+        yield from _tell_entries(known, node, now)
+    # Others need this host's own report even if it changes nothing here.
+    has_own_news = is_changed or _own_silence(known, node) != own_before
+    if sender == node.name and has_own_news:
         yield from _tell_controls(known, node, now)
 
 
+def _own_silence(known: KnownSearcher, node: Node) -> bool | None:
+    """Return whether it is silent here, None if it was never heard here."""
+    return known.silent_by_sender.get(node.name)
+
+
 @handle.register
 def _take_news(
     message: SearcherNews,
@@ -152,7 +159,7 @@
 
 
 def _own_state_of(known: KnownSearcher, node: Node) -> int:
-    if known.record.state != GONE and known.silent_by_sender.get(node.name):
+    if known.record.state != GONE and _own_silence(known, node):
         return SILENT
     return known.record.state
 
@@ -162,7 +169,7 @@
         EVENT_SEARCHER_STATE,
         searcher=known.searcher_id,
         service=known.record.service,
-        state=_STATE_NAMES[_state_of(known)],
+        state=STATE_NAMES[_state_of(known)],
         sequence=known.record.sequence,
     )
 
@@ -213,7 +220,7 @@
     """Return whether this host heard it and has to notice its silence."""
     if known.record.state == GONE:
         return False
-    return known.silent_by_sender.get(node.name) is False
+    return _own_silence(known, node) is False
 
 
 def _fall_silent(
@@ -238,8 +245,6 @@
     state = GONE if has_ended else SILENT
     yield from _hear(known.describe(state, now), node.name, node, now)
     known.learned_at = now
-    # Others need to know even if one of them still hears it.
-    yield from _tell_controls(known, node, now)
 
 
 def _lose_control(
--- a/snipejunction/edge/control_host.py
+++ b/snipejunction/edge/control_host.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from contextlib import AsyncExitStack
 from functools import partial, singledispatchmethod
 from typing import Final
@@ -34,13 +35,17 @@
 from snipejunction.edge.calls import CallTable
 from snipejunction.edge.core_runner import CoreRunner
 from snipejunction.edge.event_log import EventLog
-from snipejunction.edge.gateway.host_profile import HostProfile, parse_address
+from snipejunction.edge.gateway.host_profile import (
+    HostProfile,
+    find_address,
+    parse_address,
+)
 from snipejunction.edge.gateway.service_metrics import ServiceMetrics
 from snipejunction.edge.gauges import control_gauges
 from snipejunction.edge.keys import PeerKeys
 from snipejunction.edge.peers import Address, PeerTable
 from snipejunction.edge.storage import Storage
-from snipejunction.errors import RefusedError, SettingsError, StorageError
+from snipejunction.errors import RefusedError, StorageError
 from snipejunction.host_settings import (
     HostIdentity,
     HostSettings,
@@ -142,7 +147,7 @@
 
     async def async_order(self, entry: DocumentEntry | DrainEntry) -> bool:
         """Return whether an order is known to be committed."""
-        answer = await self._async_ask(partial(_order, entry))
+        answer = await self._async_ask(partial(OrderAsked, entry=entry))
         return isinstance(answer, OrderAnswered) and answer.is_accepted
 
     async def async_read(self) -> bytes | None:
@@ -159,11 +164,8 @@
 
     def metrics_text(self) -> bytes:
         """Return all metrics, those of the present state included."""
-        for name, (text, amount) in control_gauges(
-            self._node, self._loop.time()
-        ).items():
-            self.metrics.set_gauge(name, text, amount)
-        return self.metrics.text()
+        gauges = control_gauges(self._node, self._loop.time())
+        return self.metrics.text(gauges)
 
     def update_seeds(self, seeds: tuple[str, ...]) -> None:
         """Use other control hosts to start from."""
@@ -171,11 +173,7 @@
 
     def locate(self, host: str) -> Address | None:
         """Return where a host listens for its peers: its name says so."""
-        try:
-            return parse_address(host)
-        except SettingsError:
-            # Only a peer of another kind has such a name.
-            return None
+        return find_address(host)
 
     def log(self, event: LogEvent) -> None:
         """Write an event."""
@@ -232,8 +230,10 @@
     def _answer(self, command: OrderAnswered | ReadAnswered) -> None:
         self._calls.answer(command.call_id, command)
 
-    async def _async_ask(self, make: object) -> Command | None:
-        assert callable(make)
+    async def _async_ask(
+        self,
+        make: Callable[[int], Message],
+    ) -> Command | None:
         try:
             async with asyncio.timeout(_CALL_SECONDS):
                 answer = await self._calls.async_ask(make, OrderAbandoned)
@@ -244,10 +244,6 @@
         return answer
 
 
-def _order(entry: DocumentEntry | DrainEntry, call_id: int) -> OrderAsked:
-    return OrderAsked(call_id, entry)
-
-
 def _settings_of(profile: HostProfile) -> HostSettings:
     """Return settings of the core; only a first start names voters."""
     identity = HostIdentity(
--- a/snipejunction/edge/gateway/caller_connection.py
+++ b/snipejunction/edge/gateway/caller_connection.py
@@ -7,36 +7,17 @@
 from collections.abc import Callable
 from http import HTTPStatus
 from types import MappingProxyType
-from typing import Final, Protocol, TypeAlias
+from typing import Final, Protocol
 
 import httptools
 
+from snipejunction.components.gateway.document import CallerLimits
 from snipejunction.edge.gateway.const import IDLE_GRACE_SECONDS
+from snipejunction.edge.gateway.headers import Headers, find_header
 
-Headers: TypeAlias = list[tuple[bytes, bytes]]
-_CHUNKED: Final = b'chunked'
 _READ_AHEAD: Final = 16
 
 
-class ConnectionLimits:
-    """What a caller may send, and how long it may take; in seconds."""
-
-    __slots__ = ('body_bytes', 'header_bytes', 'header_seconds', 'idle_seconds')
-
-    def __init__(
-        self,
-        header_bytes: int,
-        body_bytes: int,
-        header_seconds: float,
-        idle_seconds: float,
-    ) -> None:
-        """Create limits."""
-        self.header_bytes = header_bytes
-        self.body_bytes = body_bytes
-        self.header_seconds = header_seconds
-        self.idle_seconds = idle_seconds
-
-
 class CallerRequest:
     """A whole request; ``respond`` answers it once."""
 
@@ -77,10 +58,7 @@
 
     def header(self, name: bytes) -> bytes:
         """Return the value of a header, empty without it."""
-        for known, text in self.headers:
-            if known == name:
-                return text
-        return b''
+        return find_header(self.headers, name)
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send the answer; a second one is an error.
@@ -98,7 +76,7 @@
 class RequestServer(Protocol):
     """Who takes the requests of all connections."""
 
-    limits: ConnectionLimits
+    limits: CallerLimits
     is_stopping: bool
 
     def connection_opened(self, connection: CallerConnection) -> bool:
@@ -225,7 +203,7 @@
     def on_body(self, chunk: bytes) -> None:
         """Take a part of the body."""
         self._body_bytes += len(chunk)
-        if self._body_bytes > self._server.limits.body_bytes:
+        if self._body_bytes > self._server.limits.max_body_bytes:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         else:
             self._chunks.append(chunk)
@@ -279,7 +257,7 @@
 
     def _count_header(self, size: int) -> None:
         self._header_bytes += size
-        if self._header_bytes > self._server.limits.header_bytes:
+        if self._header_bytes > self._server.limits.max_header_bytes:
             self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def _refuse(self, status: HTTPStatus) -> None:
--- a/snipejunction/edge/gateway/const.py
+++ b/snipejunction/edge/gateway/const.py
@@ -30,23 +30,6 @@
 # Bytes of one answer of a searcher.
 MAX_REPLY_BYTES: Final = 8388608
 
-# Headers that concern one connection only.
-HOP_HEADERS: Final = frozenset(
-    (
-        b'connection',
-        b'keep-alive',
-        b'proxy-authenticate',
-        b'proxy-authorization',
-        b'proxy-connection',
-        b'te',
-        b'trailer',
-        b'transfer-encoding',
-        b'upgrade',
-        b'content-length',
-        b'expect',
-    )
-)
-
 EVENT_SETTINGS_READ: Final = EventKind(
     820,
     'info',
--- a/snipejunction/edge/gateway/control_link.py
+++ b/snipejunction/edge/gateway/control_link.py
@@ -33,10 +33,9 @@
 from snipejunction.components.registration.const import GONE
 from snipejunction.components.registration.messages import SearcherNews
 from snipejunction.edge import const
-from snipejunction.edge.gateway.host_profile import HostProfile, parse_address
+from snipejunction.edge.gateway.host_profile import HostProfile, find_address
 from snipejunction.edge.keys import PeerKeys
 from snipejunction.edge.peers import Address, PeerTable
-from snipejunction.errors import SettingsError
 from snipejunction.messages import Message, PeerConnected, PeerLost
 
 
@@ -119,11 +118,7 @@
 
     def locate(self, host: str) -> Address | None:
         """Return where a host listens for its peers: its name says so."""
-        try:
-            return parse_address(host)
-        except SettingsError:
-            # Only a peer of another kind has such a name.
-            return None
+        return find_address(host)
 
     def submit(self, message: Message) -> None:
         """Take a message of a control host."""
--- a/snipejunction/edge/gateway/forwarding.py
+++ b/snipejunction/edge/gateway/forwarding.py
@@ -22,9 +22,9 @@
 from snipejunction.components.gateway.replies import SUCCESSES, Answer, Outcome
 from snipejunction.components.gateway.run import RequestRun
 from snipejunction.components.gateway.tables import GatewayTable
-from snipejunction.edge.gateway.caller_connection import CallerRequest, Headers
-from snipejunction.edge.gateway.const import HOP_HEADERS
+from snipejunction.edge.gateway.caller_connection import CallerRequest
 from snipejunction.edge.gateway.dialect import Dialect
+from snipejunction.edge.gateway.headers import end_to_end
 from snipejunction.edge.gateway.searcher_pool import SearcherPool, Sending
 from snipejunction.edge.gateway.service_metrics import ServiceMetrics
 
@@ -231,18 +231,11 @@
 
 def _prefix_of(request: CallerRequest, dialect: Dialect) -> bytes:
     """Return the head for searchers, but for what each attempt sets."""
-    own = {dialect.deadline, dialect.expected_searcher}
+    own = (dialect.deadline, dialect.expected_searcher)
     lines = [b'%s %s HTTP/1.1' % (request.method, request.target)]
     lines.extend(
-        b'%s: %s' % header
-        for header in request.headers
-        if header[0] not in HOP_HEADERS and header[0] not in own
+        b'%s: %s' % header for header in end_to_end(request.headers, own)
     )
     if request.body or request.method not in {b'GET', b'HEAD', b'DELETE'}:
         lines.append(b'content-length: %d' % len(request.body))
     return b'\r\n'.join([*lines, b''])
-
-
-def plain_headers(content_type: bytes) -> Headers:
-    """Return the headers of an answer of this host itself."""
-    return [(b'content-type', content_type)]
--- a/snipejunction/edge/gateway/gateway_host.py
+++ b/snipejunction/edge/gateway/gateway_host.py
@@ -20,17 +20,14 @@
 from snipejunction.components.gateway.run import RequestRun
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.edge.event_log import EventLog
-from snipejunction.edge.gateway.caller_connection import (
-    CallerRequest,
-    ConnectionLimits,
-)
+from snipejunction.edge.gateway.caller_connection import CallerRequest
 from snipejunction.edge.gateway.control_link import ControlLink
 from snipejunction.edge.gateway.dialect import Dialect
 from snipejunction.edge.gateway.forwarding import ForwardedRequest
 from snipejunction.edge.gateway.host_profile import HostProfile
 from snipejunction.edge.gateway.http_server import HttpServer
 from snipejunction.edge.gateway.searcher_pool import SearcherPool
-from snipejunction.edge.gateway.service_metrics import ServiceMetrics
+from snipejunction.edge.gateway.service_metrics import Gauges, ServiceMetrics
 from snipejunction.edge.keys import PeerKeys
 from snipejunction.errors import SettingsError, StorageError
 
@@ -160,9 +157,7 @@
 
     def metrics_text(self) -> bytes:
         """Return all metrics, those of the present state included."""
-        for name, (text, amount) in self._gauges().items():
-            self.metrics.set_gauge(name, text, amount)
-        return self.metrics.text()
+        return self.metrics.text(self._gauges())
 
     def run_ended(self, run: ForwardedRequest) -> None:
         """Forget a request whose answer is given."""
@@ -172,19 +167,13 @@
         """Adopt the limits of a document that is newly in force."""
         document = self.table.document
         if document is not None:
-            limits = document.limits
-            self.callers.limits = ConnectionLimits(
-                limits.max_header_bytes,
-                limits.max_body_bytes,
-                limits.header_seconds,
-                limits.idle_seconds,
-            )
+            self.callers.limits = document.limits
 
     def searcher_gone(self, searcher_id: str) -> None:
         """Close the idle connections to a searcher."""
         self.pool.drop(searcher_id)
 
-    def _gauges(self) -> dict[str, tuple[str, float]]:
+    def _gauges(self) -> Gauges:
         table = self.table
         now = self._loop.time()
         document = table.document
--- a/snipejunction/edge/gateway/host_profile.py
+++ b/snipejunction/edge/gateway/host_profile.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-from typing import TypeAlias
-
 from snipejunction.components.gateway.budget import RepeatLimits
+from snipejunction.edge.peers import Address
 from snipejunction.errors import SettingsError
 
-Address: TypeAlias = tuple[str, int]
-
 
 def parse_address(text: str) -> Address:
     """Return the IP number and the port in ``IP:PORT``.
@@ -22,6 +19,17 @@
     return ip, int(port)
 
 
+def find_address(name: str) -> Address | None:
+    """Return the address that is the name of a process, None if it is none.
+
+    Only a peer of another kind has a name that is no address.
+    """
+    try:
+        return parse_address(name)
+    except SettingsError:
+        return None
+
+
 class ListenAddresses:
     """Where a process listens, None for what it does not serve."""
 
--- a/snipejunction/edge/gateway/http_server.py
+++ b/snipejunction/edge/gateway/http_server.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable
 from typing import TypeAlias
 
+from snipejunction.components.gateway.document import CallerLimits
 from snipejunction.edge.gateway.caller_connection import (
     CallerConnection,
     CallerRequest,
-    ConnectionLimits,
 )
 from snipejunction.edge.gateway.const import (
     HEADER_SECONDS,
@@ -38,7 +38,7 @@
         self._server: asyncio.Server | None = None
         self._sweep_timer: asyncio.TimerHandle | None = None
         self.is_stopping = False
-        self.limits = ConnectionLimits(
+        self.limits = CallerLimits(
             MAX_HEADER_BYTES,
             MAX_BODY_BYTES,
             HEADER_SECONDS,
--- a/snipejunction/edge/gateway/searcher_connection.py
+++ b/snipejunction/edge/gateway/searcher_connection.py
@@ -11,11 +11,15 @@
 from snipejunction.components.gateway.replies import Fate, Outcome, Reply
 from snipejunction.edge.gateway.const import (
     DEFAULT_IDLE_SECONDS,
-    HOP_HEADERS,
     IDLE_MARGIN_SECONDS,
     MAX_REPLY_BYTES,
 )
 from snipejunction.edge.gateway.dialect import Dialect
+from snipejunction.edge.gateway.headers import (
+    Headers,
+    end_to_end,
+    find_header,
+)
 
 OnOutcome: TypeAlias = Callable[[Outcome], None]
 _MISDIRECTED: Final = 421
@@ -169,9 +173,7 @@
             return Outcome(Fate.MISDIRECTED, detail='another searcher')
         if self._find(self._dialect.not_run):
             return Outcome(Fate.SHED, detail=f'status {status}')
-        headers = [
-            header for header in self._headers if header[0] not in HOP_HEADERS
-        ]
+        headers = end_to_end(self._headers)
         signature = self._find(self._dialect.signature).decode('latin-1')
         body = b''.join(self._chunks)
         reply = Reply(status, headers, body, signature)
@@ -184,10 +186,7 @@
             on_outcome(outcome)
 
     def _find(self, name: bytes) -> bytes:
-        for known, text in self._headers:
-            if known == name:
-                return text
-        return b''
+        return find_header(self._headers, name)
 
     def _note_idle_time(self, text: bytes) -> None:
         for field in text.split(b','):
@@ -196,7 +195,7 @@
                 self._idle_seconds = int(number) - IDLE_MARGIN_SECONDS
 
     def _reset_reply(self) -> None:
-        self._headers: list[tuple[bytes, bytes]] = []
+        self._headers: Headers = []
         self._chunks: list[bytes] = []
         self._reply_bytes = 0
         self._has_head = False
--- a/snipejunction/edge/gateway/service_metrics.py
+++ b/snipejunction/edge/gateway/service_metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Final
+from typing import Final, TypeAlias
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
@@ -25,6 +25,10 @@
 _OTHER: Final = 'other'
 
 
+# Texts and amounts by the names of gauges.
+Gauges: TypeAlias = dict[str, tuple[str, float]]
+
+
 class ServiceMetrics:
     """Metrics of one process; labels are bounded."""
 
@@ -79,8 +83,17 @@
         """Count a request that was refused before it became one."""
         self._refusals.labels(str(status)).inc()
 
-    def set_gauge(self, name: str, text: str, amount: float) -> None:
-        """Set a gauge, which is made at its first use."""
+    def note_repeat(self) -> None:
+        """Count a part that was asked for once more."""
+        self._repeats.inc()
+
+    def text(self, gauges: Gauges) -> bytes:
+        """Return all metrics, with the gauges as they stand now."""
+        for name, (text, amount) in gauges.items():
+            self._set_gauge(name, text, amount)
+        return bytes(generate_latest(self._registry))
+
+    def _set_gauge(self, name: str, text: str, amount: float) -> None:
         gauge = self._gauges.get(name)
         if gauge is None:
             full_name = f'snipejunction_{name}'
@@ -88,14 +101,6 @@
             self._gauges[name] = gauge
         gauge.set(amount)
 
-    def note_repeat(self) -> None:
-        """Count a part that was asked for once more."""
-        self._repeats.inc()
-
-    def text(self) -> bytes:
-        """Return all metrics."""
-        return bytes(generate_latest(self._registry))
-
     def _label(self, route: str) -> str:
         if route in self._routes:
             return route
--- a/snipejunction/edge/gauges.py
+++ b/snipejunction/edge/gauges.py
@@ -2,14 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TypeAlias
-
 from snipejunction.components.deployment.systems.recruiting import is_cut_off
 from snipejunction.const import GROUP_DEPLOYMENT
+from snipejunction.edge.gateway.service_metrics import Gauges
 from snipejunction.node import Node
 
-Gauges: TypeAlias = dict[str, tuple[str, float]]
-
 
 def control_gauges(node: Node, now: float) -> Gauges:
     """Return texts and amounts by the names of the gauges."""
--- a/snipejunction/platform/answers.py
+++ b/snipejunction/platform/answers.py
@@ -6,8 +6,9 @@
 from typing import Final
 
 from snipejunction.edge.gateway.caller_connection import CallerRequest
-from snipejunction.edge.gateway.forwarding import plain_headers
+from snipejunction.edge.gateway.headers import plain_headers
 
+_OK: Final = 200
 _JSON: Final = b'application/json'
 
 
@@ -17,6 +18,11 @@
     request.respond(status, plain_headers(_JSON), body)
 
 
+def respond_content(request: CallerRequest, content: bytes) -> None:
+    """Answer a call with JSON that is there already."""
+    request.respond(_OK, plain_headers(_JSON), content)
+
+
 def respond_status(request: CallerRequest, status: int) -> None:
     """Answer a call without anything to say."""
     request.respond(status, [], b'')
--- a/snipejunction/platform/calls.py
+++ b/snipejunction/platform/calls.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Final
+from collections.abc import Coroutine
+from typing import Any, Final
 from urllib.parse import unquote
 
 from snipejunction.components.deployment.messages import (
@@ -16,19 +17,21 @@
 )
 from snipejunction.edge.control_host import ControlHost
 from snipejunction.edge.gateway.caller_connection import CallerRequest
-from snipejunction.edge.gateway.forwarding import plain_headers
 from snipejunction.edge.gateway.host_profile import HostProfile
 from snipejunction.errors import SettingsError
 from snipejunction.platform import names
 from snipejunction.platform.announcements import read_announcement
-from snipejunction.platform.answers import respond_json, respond_status
+from snipejunction.platform.answers import (
+    respond_content,
+    respond_json,
+    respond_status,
+)
 from snipejunction.platform.documents import read_document
 
 _OK: Final = 200
 _BAD_REQUEST: Final = 400
 _NOT_FOUND: Final = 404
 _UNAVAILABLE: Final = 503
-_JSON: Final = b'application/json'
 _GET: Final = b'GET'
 _POST: Final = b'POST'
 
@@ -95,7 +98,7 @@
     async def _async_read(self, request: CallerRequest) -> None:
         content = await self._host.async_read()
         if content:
-            request.respond(_OK, plain_headers(_JSON), content)
+            respond_content(request, content)
         else:
             respond_status(request, _UNAVAILABLE)
 
@@ -138,8 +141,7 @@
             return None
         return DrainEntry(name, is_out)
 
-    def _start(self, work: object) -> None:
-        assert asyncio.iscoroutine(work)
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = self._loop.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/snipejunction/platform/entry.py
+++ b/snipejunction/platform/entry.py
@@ -38,7 +38,6 @@
             process.log,
             secrets.randbits(_SEED_BITS),
         )
-
         await stack.enter_async_context(host)
         address = process.profile.addresses.ready
         show = partial(_show_readiness, host)
@@ -54,7 +53,7 @@
 
 def _show_readiness(host: GatewayHost, request: CallerRequest) -> None:
     status = _OK if host.is_ready else _UNAVAILABLE
-    request.respond(status, [], b'')
+    respond_status(request, status)
 
 
 def _tell_addresses(host: GatewayHost, request: CallerRequest) -> None:
--- a/snipejunction/platform/process.py
+++ b/snipejunction/platform/process.py
@@ -21,9 +21,10 @@
     EVENT_SETTINGS_KEPT,
     EVENT_SETTINGS_READ,
 )
-from snipejunction.edge.gateway.forwarding import plain_headers
+from snipejunction.edge.gateway.headers import plain_headers
 from snipejunction.edge.gateway.host_profile import HostProfile
 from snipejunction.edge.gateway.http_server import HttpServer
+from snipejunction.edge.peers import Address
 from snipejunction.errors import SettingsError, StorageError
 from snipejunction.platform import names
 from snipejunction.platform.settings import load_profile
@@ -104,7 +105,7 @@
 
     async def async_listen(
         self,
-        address: tuple[str, int] | None,
+        address: Address | None,
         take: Callable[[CallerRequest], None],
         stack: AsyncExitStack,
     ) -> None:
--- a/snipejunction/platform/settings.py
+++ b/snipejunction/platform/settings.py
@@ -10,11 +10,11 @@
 
 from snipejunction.components.gateway.budget import RepeatLimits
 from snipejunction.edge.gateway.host_profile import (
-    Address,
     HostProfile,
     ListenAddresses,
     parse_address,
 )
+from snipejunction.edge.peers import Address
 from snipejunction.errors import SettingsError
 from snipejunction.platform.fields import Fields
 
--- a/tests/components/registration/test_relaying.py
+++ b/tests/components/registration/test_relaying.py
@@ -5,6 +5,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals, Is
 
+from snipejunction.commands import SendPeer
 from snipejunction.components.registration.const import (
     GONE,
     LEAVING,
@@ -15,6 +16,7 @@
     SearcherAnnounced,
     SearcherLeft,
 )
+from snipejunction.handling import handle
 from snipejunction.messages import PeerConnected, PeerLost
 from tests.components.deployment.harness import SEEDS, ControlCluster
 from tests.components.gateway.stage import make_record
@@ -103,6 +105,23 @@
         self.assertThat(self.states(), Equals([GONE, GONE, GONE]))
 
 
+class TellingTest(RelayCase):
+    """How often news leave a control host."""
+
+    def told(self, sequence: int, state: int = READY) -> list[str]:
+        """Return who is told of an announcement at the first host."""
+        record = make_record('a', sequence=sequence, state=state)
+        node = self.cluster.hosts['h1'].node
+        commands = handle(SearcherAnnounced(record), node, self.cluster.now)
+        return [one.host for one in commands if isinstance(one, SendPeer)]
+
+    def test_once_to_each_control_host(self) -> None:
+        """A new searcher and each change are told once, the rest never."""
+        self.assertThat(self.told(1), Equals(['h2', 'h3']))
+        self.assertThat(self.told(2), Equals([]))
+        self.assertThat(self.told(3, LEAVING), Equals(['h2', 'h3']))
+
+
 class LostControlTest(RelayCase):
     """Control hosts that are lost and come back."""
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -188,7 +188,8 @@
         record = read_announcement('i-1', pack(dict(ANNOUNCEMENT)))
         self.assertThat(record.state, Equals(LEAVING))
         self.assertThat(record.cold_left, Equals(1.5))
-        self.assertThat(record.place, Equals((1787800178171, 4)))
+        place = (record.born_ms, record.sequence)
+        self.assertThat(place, Equals((1787800178171, 4)))
 
     def test_forged(self) -> None:
         """Fields that are missing or of another type name no searcher."""
