Forget searchers that are gone, after a while

Cause: forget_gone took a gone searcher out of the choice, but its id stayed in the table for ever. A searcher that restarts gets a new id, so a host that runs for months keeps one entry for each restart. Change: an id is dropped once its news is older than GONE_SECONDS and nothing is in flight; until then late news of it change nothing. ForgettingTest fails without it (test_forgotten_in_the_end).

--- a/snipejunction/components/gateway/learning.py
+++ b/snipejunction/components/gateway/learning.py
@@ -20,7 +20,11 @@
 from snipejunction.components.gateway.routing import RouteIndex
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.components.gateway.upstreams import Upstream
-from snipejunction.components.registration.const import GONE, STATE_NAMES
+from snipejunction.components.registration.const import (
+    GONE,
+    GONE_SECONDS,
+    STATE_NAMES,
+)
 from snipejunction.components.registration.messages import (
     SearcherNews,
     SearcherRecord,
@@ -156,9 +160,15 @@
     of_service[upstream.searcher_id] = upstream
 
 
-def forget_gone(table: GatewayTable) -> None:
-    """Drop searchers that are gone and have nothing in flight."""
+def forget_gone(table: GatewayTable, now: float) -> None:
+    """Drop searchers that are gone and have nothing in flight.
+
+    Their ids are kept for a while: late news must not bring them back.
+    """
     for searcher_id, upstream in list(table.upstreams.items()):
-        if upstream.record.state == GONE and not upstream.in_flight:
-            service = upstream.record.service
-            table.upstreams_by_service[service].pop(searcher_id, None)
+        if upstream.record.state != GONE or upstream.in_flight:
+            continue
+        service = upstream.record.service
+        table.upstreams_by_service[service].pop(searcher_id, None)
+        if now > upstream.learned_at + GONE_SECONDS:
+            table.upstreams.pop(searcher_id)
--- a/snipejunction/edge/gateway/gateway_host.py
+++ b/snipejunction/edge/gateway/gateway_host.py
@@ -286,7 +286,7 @@
         request.respond(status, headers, b'')
 
     def _keep_forgetting(self) -> None:
-        forget_gone(self.table)
+        forget_gone(self.table, self._loop.time())
         self._forget_timer = self._loop.call_later(
             _FORGET_SECONDS,
             self._keep_forgetting,
--- a/tests/components/gateway/test_learning.py
+++ b/tests/components/gateway/test_learning.py
@@ -8,10 +8,16 @@
 from snipejunction.components.deployment.messages import DeploymentFed
 from snipejunction.components.gateway.choosing import choose_upstream
 from snipejunction.components.gateway.learning import (
+    forget_gone,
     lose_control,
     take_deployment,
 )
-from snipejunction.components.registration.const import GONE, LEAVING, SILENT
+from snipejunction.components.registration.const import (
+    GONE,
+    GONE_SECONDS,
+    LEAVING,
+    SILENT,
+)
 from snipejunction.errors import SettingsError
 from tests.components.gateway.stage import (
     install,
@@ -118,6 +124,36 @@
         self.assertThat(self.table.upstreams['a'].record.born_ms, Equals(2))
 
 
+class ForgettingTest(TestCase):
+    """Searchers that are gone."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.table = make_table()
+        install(self.table, make_route())
+        tell(self.table, make_record('a'), make_record('b'), now=10)
+        tell(self.table, make_record('a', state=GONE), now=20)
+
+    def test_no_choice_but_remembered(self) -> None:
+        """One that is gone is no choice, and late news change nothing."""
+        forget_gone(self.table, 21)
+        of_service = self.table.upstreams_by_service['s']
+        self.assertThat(list(of_service), Equals(['b']))
+        tell(self.table, make_record('a', sequence=9), now=22)
+        self.assertThat(list(of_service), Equals(['b']))
+
+    def test_forgotten_in_the_end(self) -> None:
+        """Restarts of searchers do not fill the memory of a host."""
+        forget_gone(self.table, 20 + GONE_SECONDS + 1)
+        self.assertThat(list(self.table.upstreams), Equals(['b']))
+
+    def test_kept_with_work_in_flight(self) -> None:
+        """One that still has requests is kept until they end."""
+        self.table.upstreams['a'].in_flight = 1
+        forget_gone(self.table, 20 + GONE_SECONDS + 1)
+        self.assertThat(sorted(self.table.upstreams), Equals(['a', 'b']))
+
+
 class DeploymentTest(TestCase):
     """Documents and drains from several control hosts."""
 
