Feed only the entry hosts that ask for news

Cause: with 83 entry hosts, whatever happened to a control host made all its entry hosts turn to others, and each of those sent whole documents (21 KB), all hosts (2.4 KB) and all searchers, most of it to other regions. Ruled out: announcements between control hosts (8 KB), heartbeats of streams. Change: an entry host asks for news (EntryPresence.wants_news) the control hosts of its own data centre, or two others once none there hears a leader; the others tell it the control hosts only. A host that just started waits a second for one nearby. Lists of hosts hold the named ones only and are not sent again unchanged. A forwarded read of the document gets the log index from the leader, not the document, and is answered once it is applied. Tests: FeedingTest, test_control_host_without_entries, test_waits_for_the_log; each fails without its part.

--- a/snipejunction/components/deployment/const.py
+++ b/snipejunction/components/deployment/const.py
@@ -25,6 +25,9 @@
 # An entry host closes streams that it does not need this long after it found
 # better ones, in seconds.
 SETTLE_SECONDS: Final = 2.0
+# Entry hosts of one data centre that callers are told to use: one may be lost
+# and one be restarted.
+NAMED_HOSTS: Final = 3
 EVENT_DOCUMENT_ACCEPTED: Final = EventKind(
     901,
     'info',
--- a/snipejunction/components/deployment/machine.py
+++ b/snipejunction/components/deployment/machine.py
@@ -21,6 +21,7 @@
     ReadSettled,
 )
 from snipejunction.components.deployment.systems.feeding import feed_all
+from snipejunction.components.deployment.systems.reading import answer_reads
 from snipejunction.components.deployment.tables import Deployment
 from snipejunction.const import GROUP_DEPLOYMENT
 from snipejunction.helpers.wire import decode
@@ -49,6 +50,7 @@
         node.deployment.state = self._state
         yield from _apply_entry(decode(payload), self._state)
         yield from feed_all(node, now)
+        yield from answer_reads(node)
         order = node.deployment.orders.pop(index, None)
         if order is None or order.term != term:
             # Another leader's entry took the place: the outcome of the
@@ -82,6 +84,7 @@
             self._state.out = fields[3]
         node.deployment.state = self._state
         yield from feed_all(node, now)
+        yield from answer_reads(node)
 
     def on_confirmed(
         self,
@@ -96,8 +99,7 @@
         call_id, origin = read
         state = node.deployment.state
         if origin:
-            answer = ReadSettled(call_id, state.version, state.content)
-            yield SendPeer(origin, answer)
+            yield SendPeer(origin, ReadSettled(call_id, state.index))
         else:
             yield ReadAnswered(call_id, state.version, state.content)
 
--- a/snipejunction/components/deployment/messages.py
+++ b/snipejunction/components/deployment/messages.py
@@ -80,15 +80,18 @@
 
 @wire(145)
 class ReadSettled(CallPeerMessage):
-    """The newest document; a quorum confirmed the leader since the read."""
+    """The log index that a read needs.
 
-    __slots__ = ('content', 'version')
+    A quorum confirmed the leader since the read, so the document at this
+    index is the newest that was committed before.
+    """
 
-    def __init__(self, call_id: int, version: int, content: bytes) -> None:
-        """Create an answer; version 0 means that there is no document."""
+    __slots__ = ('index',)
+
+    def __init__(self, call_id: int, index: int) -> None:
+        """Create an answer to the host that forwarded the read."""
         self.call_id = call_id
-        self.version = version
-        self.content = content
+        self.index = index
 
 
 @wire(146)
@@ -118,7 +121,14 @@
 class EntryPresence(PeerMessage):
     """What an entry host says of itself to every control host."""
 
-    __slots__ = ('address', 'data_centre', 'index', 'region', 'takes_work')
+    __slots__ = (
+        'address',
+        'data_centre',
+        'index',
+        'region',
+        'takes_work',
+        'wants_news',
+    )
 
     def __init__(
         self,
@@ -127,18 +137,21 @@
         address: str,
         takes_work: bool,
         index: int,
+        wants_news: bool,
     ) -> None:
         """Create a presence.
 
         ``address`` is where callers connect; ``takes_work`` is false until
         the host can serve, and once it is leaving; ``index`` is that of the
-        deployment in force at the host.
+        deployment in force at the host; ``wants_news`` asks the receiver for
+        documents, hosts and searchers.
         """
         self.data_centre = data_centre
         self.region = region
         self.address = address
         self.takes_work = takes_work
         self.index = index
+        self.wants_news = wants_news
 
 
 @wire(152)
@@ -165,8 +178,9 @@
 class HostsFed(PeerMessage):
     """The hosts that a control host knows, for an entry host.
 
-    ``controls`` are data centres by the names of control hosts;
-    ``is_cut_off`` says that the sender hears no leader.
+    ``controls`` are data centres by the names of control hosts; ``entries``
+    are the entry hosts that callers are told to use, none for a receiver
+    that wants no news; ``is_cut_off`` says that the sender hears no leader.
     """
 
     __slots__ = ('controls', 'entries', 'is_cut_off')
--- a/snipejunction/components/deployment/systems/__init__.py
+++ b/snipejunction/components/deployment/systems/__init__.py
@@ -4,7 +4,8 @@
 from snipejunction.components.deployment.systems import (
     feeding,
     orders,
+    reading,
     recruiting,
 )
 
-__all__ = ('feeding', 'machine', 'orders', 'recruiting')
+__all__ = ('feeding', 'machine', 'orders', 'reading', 'recruiting')
--- a/snipejunction/components/deployment/systems/feeding.py
+++ b/snipejunction/components/deployment/systems/feeding.py
@@ -18,6 +18,7 @@
     EntryPresence,
     HostsFed,
 )
+from snipejunction.components.deployment.naming import named_entries
 from snipejunction.components.deployment.systems.recruiting import (
     is_cut_off,
 )
@@ -53,8 +54,8 @@
         return
     table.hosts_due = NEVER
     fed = _hosts(node, now)
-    for name in table.entries:
-        yield SendPeer(name, fed)
+    for name, entry in table.entries.items():
+        yield from _tell_hosts(name, entry, fed)
     own = EntriesFed(table.entry_records())
     if own.entries != table.told_entries:
         table.told_entries = own.entries
@@ -66,11 +67,24 @@
     members = node.consensus.members_of(GROUP_DEPLOYMENT)
     return HostsFed(
         {member.name: member.data_centre for member in members},
-        node.deployment.all_entry_records(),
+        named_entries(node.deployment.all_entry_records()),
         is_cut_off(node, now),
     )
 
 
+def _tell_hosts(
+    name: str,
+    entry: ConnectedEntry,
+    fed: HostsFed,
+) -> Iterator[Command]:
+    """Tell an entry host what changed; one without news needs little."""
+    if not entry.presence.wants_news:
+        fed = HostsFed(fed.controls, [], fed.is_cut_off)
+    if fed != entry.told:
+        entry.told = fed
+        yield SendPeer(name, fed)
+
+
 @handle.register
 def _take_entries(
     message: EntriesFed,
@@ -84,7 +98,9 @@
 
 def _feed(name: str, entry: ConnectedEntry, node: Node) -> Iterator[Command]:
     state = node.deployment.state
-    if not state.version or entry.fed_index >= state.index:
+    if not state.version or not entry.presence.wants_news:
+        return
+    if entry.fed_index >= state.index:
         return
     entry.fed_index = state.index
     fed = DeploymentFed(state.index, state.version, state.content, state.out)
@@ -99,6 +115,7 @@
 ) -> Iterator[Command]:
     name = message.sender
     entry = node.deployment.entries.get(name)
+    had_news = entry is not None and entry.presence.wants_news
     if entry is None:
         entry = ConnectedEntry(message, now)
         node.deployment.entries[name] = entry
@@ -107,8 +124,6 @@
             name=name,
             data_centre=message.data_centre,
         )
-        yield from news_for_entry(name, node, now)
-        yield SendPeer(name, _hosts(node, now))
         feed_hosts_soon(node, now)
     elif message.takes_work != entry.presence.takes_work:
         takes_work = message.takes_work
@@ -117,6 +132,10 @@
         feed_hosts_soon(node, now)
     entry.presence = message
     entry.heard_at = now
+    if message.wants_news and not had_news:
+        yield from news_for_entry(name, node, now)
+    if entry.told is None or message.wants_news != had_news:
+        yield from _tell_hosts(name, entry, _hosts(node, now))
     if message.index < node.deployment.state.index:
         # What was sent before may have been lost with an older stream.
         entry.fed_index = message.index
--- a/snipejunction/components/deployment/systems/orders.py
+++ b/snipejunction/components/deployment/systems/orders.py
@@ -27,7 +27,6 @@
     ReadAnswered,
     ReadAsked,
     ReadForwarded,
-    ReadSettled,
 )
 from snipejunction.components.deployment.tables import PendingOrder
 from snipejunction.const import GROUP_DEPLOYMENT
@@ -114,15 +113,6 @@
         yield Deliver(FlushLog(GROUP_DEPLOYMENT))
 
 
-@handle.register
-def _take_settled_read(
-    message: ReadSettled,
-    node: Node,
-    now: float,
-) -> Iterator[Command]:
-    yield ReadAnswered(message.call_id, message.version, message.content)
-
-
 @handle.register
 def _forget(
     message: OrderAbandoned,
@@ -137,6 +127,7 @@
     for token, read in list(table.reads.items()):
         if read == (message.call_id, ''):
             table.reads.pop(token)
+    table.settled_reads.pop(message.call_id, None)
     return iter(())
 
 
--- a/snipejunction/components/deployment/tables.py
+++ b/snipejunction/components/deployment/tables.py
@@ -5,6 +5,7 @@
 from snipejunction.components.deployment.messages import (
     EntryPresence,
     EntryRecord,
+    HostsFed,
 )
 from snipejunction.timers import NEVER
 
@@ -43,16 +44,18 @@
 class ConnectedEntry:
     """An entry host with a stream to this control host.
 
-    ``fed_index`` is the index of the last deployment sent to it.
+    ``fed_index`` is the index of the last deployment sent to it, ``told``
+    the last message about hosts.
     """
 
-    __slots__ = ('fed_index', 'heard_at', 'presence')
+    __slots__ = ('fed_index', 'heard_at', 'presence', 'told')
 
     def __init__(self, presence: EntryPresence, now: float) -> None:
         """Create an entry of a host heard at ``now``."""
         self.presence = presence
         self.heard_at = now
         self.fed_index = 0
+        self.told: HostsFed | None = None
 
 
 class DeploymentTable:
@@ -68,6 +71,7 @@
         'presence_due',
         'reads',
         'seeds',
+        'settled_reads',
         'state',
         'told_entries',
     )
@@ -82,10 +86,21 @@
         self.told_entries: list[EntryRecord] = []
         self.orders: dict[int, PendingOrder] = {}
         self.reads: dict[int, tuple[int, str]] = {}
+        # Indexes by the calls of confirmed reads that wait for the log here.
+        self.settled_reads: dict[int, int] = {}
         self.presence_due = -NEVER
         self.cut_off_since: float | None = None
         self._next_token = 0
 
+    @property
+    def listeners(self) -> list[str]:
+        """Return the entry hosts that want news from this host."""
+        return [
+            name
+            for name, entry in self.entries.items()
+            if entry.presence.wants_news
+        ]
+
     def add_read(self, call_id: int, origin: str) -> int:
         """Keep a read until it is confirmed; return its token."""
         self._next_token += 1
--- a/snipejunction/components/gateway/attaching.py
+++ b/snipejunction/components/gateway/attaching.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection
 from typing import Final
 
+from snipejunction.components.gateway.const import NEARBY_SECONDS
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.helpers.rendezvous import rank
 
@@ -23,23 +24,35 @@
     One in the own data centre suffices while it hears a leader. Otherwise
     two elsewhere do; until they are found, all that are known are tried.
     """
-    controls = table.controls
-    sound = {
-        name
-        for name in connected
-        if name in controls and not _is_cut_off(name, table)
-    }
-    near = {name for name in sound if controls[name] == table.data_centre}
-    if near:
-        return near
+    sound = _sound_controls(table, connected)
+    nearby = _nearby_controls(table)
+    if sound & nearby:
+        return sound & nearby
     if len(sound) >= _STAND_INS:
-        nearby = {
-            name
-            for name, data_centre in controls.items()
-            if data_centre == table.data_centre
-        }
         return nearby.union(rank(table.name, sound)[:_STAND_INS])
-    return set(controls) | set(seeds)
+    return set(table.controls) | set(seeds)
+
+
+def feeding_controls(
+    table: GatewayTable,
+    connected: Collection[str],
+    now: float,
+) -> set[str]:
+    """Return the control hosts that are asked for news.
+
+    Those nearby are, even if they are cut off: they hear searchers. Whole
+    documents and all searchers are sent to a host that asks, so one that
+    just started waits for the control host nearby before it asks others.
+    """
+    sound = _sound_controls(table, connected)
+    nearby = _nearby_controls(table)
+    feeding = nearby.intersection(connected)
+    if sound & nearby:
+        return feeding
+    since = now if table.controls_at is None else table.controls_at
+    if nearby and now < since + NEARBY_SECONDS:
+        return feeding
+    return feeding.union(rank(table.name, sound)[:_STAND_INS])
 
 
 def told_controls(
@@ -65,6 +78,27 @@
     return set(connected) - wanted if wanted & set(connected) else set()
 
 
+def _sound_controls(
+    table: GatewayTable,
+    connected: Collection[str],
+) -> set[str]:
+    """Return the control hosts with a stream that hear a leader."""
+    known = table.controls
+    return {
+        name
+        for name in connected
+        if name in known and not _is_cut_off(name, table)
+    }
+
+
+def _nearby_controls(table: GatewayTable) -> set[str]:
+    return {
+        name
+        for name, data_centre in table.controls.items()
+        if data_centre == table.data_centre
+    }
+
+
 def _is_cut_off(name: str, table: GatewayTable) -> bool:
     fed = table.hosts_by_sender.get(name)
     return fed is None or fed.is_cut_off
--- a/snipejunction/components/gateway/const.py
+++ b/snipejunction/components/gateway/const.py
@@ -69,9 +69,10 @@
 MAX_SENDS: Final = 10
 # Time that a searcher may go on with work that nobody waits for, in seconds.
 ABANDON_SECONDS: Final = 0.3
-# Entry hosts of one data centre that callers are told to use: one may be lost
-# and one be restarted.
-ACTIVE_HOSTS: Final = 3
+# Time that an entry host waits for a control host nearby that it knows of
+# before others stand in for it, in seconds: longer than a handshake between
+# busy hosts.
+NEARBY_SECONDS: Final = 1.0
 # Addresses in one answer to a caller, which reads no more.
 MAX_ADDRESSES: Final = 64
 
--- a/snipejunction/components/gateway/learning.py
+++ b/snipejunction/components/gateway/learning.py
@@ -102,15 +102,21 @@
             upstream.cold_until = max(upstream.cold_until, now + cold_seconds)
 
 
-def take_hosts(message: HostsFed, table: GatewayTable) -> None:
+def take_hosts(message: HostsFed, table: GatewayTable, now: float) -> None:
     """Note which hosts the sender knows."""
+    if message.controls and table.controls_at is None:
+        table.controls_at = now
     table.hosts_by_sender[message.sender] = message
     table.note_hosts()
 
 
 def lose_control(name: str, table: GatewayTable) -> None:
     """Forget what a lost control host said, unless it was the last one."""
-    if len(table.hosts_by_sender) > 1:
+    others = [
+        fed for sender, fed in table.hosts_by_sender.items() if sender != name
+    ]
+    # Another one that names no entry hosts is no replacement.
+    if any(fed.entries for fed in others):
         table.hosts_by_sender.pop(name, None)
         table.note_hosts()
     for upstream in table.upstreams.values():
--- a/snipejunction/components/gateway/tables.py
+++ b/snipejunction/components/gateway/tables.py
@@ -8,16 +8,13 @@
     EntryRecord,
     HostsFed,
 )
+from snipejunction.components.deployment.naming import named_entries
 from snipejunction.components.gateway.budget import RepeatBudget, RepeatLimits
-from snipejunction.components.gateway.const import (
-    ACTIVE_HOSTS,
-    HEDGE_QUANTILE,
-)
+from snipejunction.components.gateway.const import HEDGE_QUANTILE
 from snipejunction.components.gateway.document import Document, Service
 from snipejunction.components.gateway.routing import RouteIndex
 from snipejunction.components.gateway.timing import QuantileWindow
 from snipejunction.components.gateway.upstreams import Upstream
-from snipejunction.helpers.rendezvous import rank
 
 
 class GatewayTable:
@@ -33,6 +30,7 @@
         'budgets',
         'data_centre',
         'document',
+        'controls_at',
         'document_at',
         'active',
         'hosts_by_sender',
@@ -74,6 +72,8 @@
         self.routes = RouteIndex()
         self.index = 0
         self.out: dict[str, bool] = {}
+        # When control hosts were first known, in monotonic seconds.
+        self.controls_at: float | None = None
         self.hosts_by_sender: dict[str, HostsFed] = {}
         self.active: dict[str, EntryRecord] = {}
         self.upstreams: dict[str, Upstream] = {}
@@ -103,24 +103,14 @@
         return 1 / len(self.active) if self.is_active else 0
 
     def note_hosts(self) -> None:
-        """Gather the entry hosts that any control host names.
-
-        Callers are told of a few in each data centre only: their connections
-        to searchers stay open, and there are enough for each.
-        """
+        """Gather the entry hosts that any control host names."""
         records = {
             record.name: record
             for fed in self.hosts_by_sender.values()
             for record in fed.entries
         }
-        names_by_place: dict[str, list[str]] = {}
-        for record in records.values():
-            names = names_by_place.setdefault(record.data_centre, [])
-            names.append(record.name)
         self.active = {
-            name: records[name]
-            for data_centre, names in names_by_place.items()
-            for name in rank(data_centre, names)[:ACTIVE_HOSTS]
+            record.name: record for record in named_entries(records.values())
         }
 
     def budget(self, service: str) -> RepeatBudget:
--- a/snipejunction/components/registration/systems/announcing.py
+++ b/snipejunction/components/registration/systems/announcing.py
@@ -180,7 +180,7 @@
     now: float,
 ) -> Iterator[Command]:
     news = SearcherNews([known.describe(_state_of(known), now)])
-    for name in node.deployment.entries:
+    for name in node.deployment.listeners:
         yield SendPeer(name, news)
 
 
--- a/snipejunction/edge/gateway/control_link.py
+++ b/snipejunction/edge/gateway/control_link.py
@@ -19,6 +19,7 @@
     HostsFed,
 )
 from snipejunction.components.gateway.attaching import (
+    feeding_controls,
     needless_controls,
     told_controls,
 )
@@ -103,14 +104,14 @@
 
     def send_presence(self) -> None:
         """Tell the control hosts that it needs how this host is."""
-        presence = self._presence()
         names = told_controls(
             self._hooks.table,
             self.peers.connected,
             self._profile.seeds,
         )
+        feeding = self._feeding()
         for name in sorted(names):
-            self.peers.send(name, presence)
+            self.peers.send(name, self._presence(name in feeding))
 
     def log(self, event: LogEvent) -> None:
         """Write an event."""
@@ -140,11 +141,14 @@
 
     @_take.register
     def _take_connected(self, message: PeerConnected) -> None:
-        self.peers.send(message.host, self._presence())
+        wants_news = message.host in self._feeding()
+        self.peers.send(message.host, self._presence(wants_news))
 
     @_take.register
     def _take_lost(self, message: PeerLost) -> None:
         lose_control(message.host, self._hooks.table)
+        # Others may have to take its place.
+        self.send_presence()
 
     @_take.register
     def _take_deployment(self, message: DeploymentFed) -> None:
@@ -162,8 +166,10 @@
     def _take_hosts(self, message: HostsFed) -> None:
         table = self._hooks.table
         before = table.hosts_by_sender.get(message.sender)
-        take_hosts(message, table)
-        if before is None or before.is_cut_off != message.is_cut_off:
+        feeding = self._feeding()
+        take_hosts(message, table, self._loop.time())
+        is_new = before is None or before.is_cut_off != message.is_cut_off
+        if is_new or self._feeding() != feeding:
             self.send_presence()
 
     @_take.register
@@ -182,7 +188,14 @@
             if isinstance(command, LogEvent):
                 self.log(command)
 
-    def _presence(self) -> EntryPresence:
+    def _feeding(self) -> set[str]:
+        return feeding_controls(
+            self._hooks.table,
+            self.peers.connected,
+            self._loop.time(),
+        )
+
+    def _presence(self, wants_news: bool) -> EntryPresence:
         ip, port = self._address
         return EntryPresence(
             self._profile.data_centre,
@@ -190,6 +203,7 @@
             f'{ip}:{port}',
             self._hooks.is_ready,
             self._hooks.table.index,
+            wants_news,
         )
 
     def _keep_announcing(self) -> None:
--- a/tests/components/deployment/test_orders.py
+++ b/tests/components/deployment/test_orders.py
@@ -9,6 +9,8 @@
 from snipejunction.components.deployment.messages import (
     DocumentEntry,
     DrainEntry,
+    ReadAnswered,
+    ReadSettled,
 )
 from snipejunction.helpers.wire import encode
 from tests.components.deployment.harness import SEEDS, ControlCluster
@@ -78,6 +80,13 @@
 class ReadsTest(TestCase):
     """Reads that are certainly newest."""
 
+    def answers(self, name: str, call_id: int) -> list[bytes | None]:
+        return [
+            output.content
+            for output in self.cluster.hosts[name].outputs
+            if isinstance(output, ReadAnswered) and output.call_id == call_id
+        ]
+
     def test_cut_off_leader(self) -> None:
         """A leader that is cut off answers no read."""
         cluster = ControlCluster(5)
@@ -99,6 +108,19 @@
         for name in SEEDS:
             self.assertThat(cluster.read(name).version, Equals(8))
 
+    def test_waits_for_the_log(self) -> None:
+        """A host answers once it applied what the leader had applied."""
+        self.cluster = ControlCluster(7)
+        self.cluster.accept('h1', 1, b'old')
+        host = self.cluster.hosts['h2']
+        settled = ReadSettled(900, host.node.deployment.state.index + 1)
+        settled.sender = self.cluster.leader().name
+        self.cluster.process(host, settled)
+        self.assertThat(self.answers('h2', 900), Equals([]))
+        self.cluster.accept('h1', 2, b'new')
+        self.cluster.run(1)
+        self.assertThat(self.answers('h2', 900), Equals([b'new']))
+
 
 class MachineTest(TestCase):
     """Entries in the order of the log."""
--- a/tests/components/gateway/stage.py
+++ b/tests/components/gateway/stage.py
@@ -115,4 +115,4 @@
     records = [EntryRecord(name, name, 'near', 'one') for name in names]
     fed = HostsFed({'c1': 'near'}, records, False)
     fed.sender = 'c1'
-    take_hosts(fed, table)
+    take_hosts(fed, table, 0)
--- a/tests/components/gateway/test_addressing.py
+++ b/tests/components/gateway/test_addressing.py
@@ -30,7 +30,7 @@
         ]
         fed = HostsFed({sender: 'near'}, records, False)
         fed.sender = sender
-        take_hosts(fed, self.table)
+        take_hosts(fed, self.table, 0)
 
     def found(self, data_centre: str, region: str) -> list[str]:
         return find_addresses(self.table, data_centre, region)
@@ -52,6 +52,12 @@
         lose_control('c1', self.table)
         self.assertThat(self.found('near', 'one'), Equals(['c:80']))
 
+    def test_control_host_without_entries(self) -> None:
+        """One that names nobody does not replace a lost one."""
+        self.tell('c2')
+        lose_control('c1', self.table)
+        self.assertThat(self.found('near', 'one'), Equals(['a:80']))
+
     def test_last_control_host(self) -> None:
         """What the last control host said holds on without it."""
         lose_control('c1', self.table)
--- a/tests/components/gateway/test_attaching.py
+++ b/tests/components/gateway/test_attaching.py
@@ -7,10 +7,12 @@
 
 from snipejunction.components.deployment.messages import HostsFed
 from snipejunction.components.gateway.attaching import (
+    feeding_controls,
     needless_controls,
     told_controls,
     wanted_controls,
 )
+from snipejunction.components.gateway.const import NEARBY_SECONDS
 from snipejunction.components.gateway.learning import take_hosts
 from tests.components.gateway.stage import make_table
 
@@ -18,7 +20,7 @@
 SEEDS = ('c1', 'c9')
 
 
-class AttachingTest(TestCase):
+class _Controls(TestCase):
     """Four control hosts, the first one nearby."""
 
     def setUp(self) -> None:
@@ -31,7 +33,11 @@
     def tell(self, sender: str, *, is_cut_off: bool = False) -> None:
         fed = HostsFed(self.places, [], is_cut_off)
         fed.sender = sender
-        take_hosts(fed, self.table)
+        take_hosts(fed, self.table, 0)
+
+
+class AttachingTest(_Controls):
+    """Which control hosts an entry host keeps a stream to."""
 
     def wanted(self, *connected: str) -> set[str]:
         return wanted_controls(self.table, connected, SEEDS)
@@ -78,3 +84,41 @@
             needless_controls(self.table, ('c9',), ()),
             Equals(set()),
         )
+
+
+class FeedingTest(_Controls):
+    """Which control hosts are asked for news."""
+
+    def feeding(self, *connected: str, now: float = 0) -> set[str]:
+        return feeding_controls(self.table, connected, now)
+
+    def test_waits_for_nearby(self) -> None:
+        """A host that just started asks nobody far away at first."""
+        for name in CONTROLS[1:]:
+            self.tell(name)
+        self.assertThat(self.feeding('c2', 'c3', 'c4'), Equals(set()))
+        late = self.feeding('c2', 'c3', 'c4', now=NEARBY_SECONDS)
+        self.assertThat(late, HasLength(2))
+
+    def test_nearby_only(self) -> None:
+        """Open streams to others carry no news."""
+        for name in CONTROLS:
+            self.tell(name)
+        self.assertThat(self.feeding(*CONTROLS), Equals({'c1'}))
+
+    def test_nearby_cut_off_later(self) -> None:
+        """Two stand in for it, and it still tells what it hears."""
+        for name in CONTROLS:
+            self.tell(name)
+        self.tell('c1', is_cut_off=True)
+        feeding = self.feeding(*CONTROLS, now=10)
+        self.assertThat(feeding, HasLength(3))
+        self.assertThat('c1' in feeding, Equals(True))
+
+    def test_none_nearby(self) -> None:
+        """Without a control host in the data centre nobody waits."""
+        self.table.hosts_by_sender.clear()
+        self.places = {'c2': 'far', 'c3': 'x'}
+        for name in self.places:
+            self.tell(name)
+        self.assertThat(self.feeding('c2', 'c3'), Equals({'c2', 'c3'}))
