Merge parts of another data centre at an entry host there

Change: first attempts to searchers of one other data centre go in one message to a named entry host there, over the streams between our processes. It sends them, merges the records and reports fate, signature and time of each part; it answers when all are there, or in time for hedges, then again for what is late. The asking host keeps all decisions (choice, hedges, budgets, limits); the relay only holds back what it knows must not be sent. Merged records cannot be taken apart: such a batch is taken in one step, and replaces single replies of the same parts. A silent relay is passed over for 2 s, a lost stream ends its calls as "may have run"; hedges and single parts go directly.

--- a/snipejunction/components/gateway/const.py
+++ b/snipejunction/components/gateway/const.py
@@ -76,9 +76,23 @@
 # Addresses in one answer to a caller, which reads no more.
 MAX_ADDRESSES: Final = 64
 
+# Parts of one data centre from which on a host there merges them: a single
+# one is as small on its own.
+MIN_RELAYED_PARTS: Final = 2
+# What merging at another host adds to a part, in seconds: a round trip
+# between data centres, or between regions, and turns of two busy loops.
+RELAY_SECONDS: Final = 0.01
+RELAY_AWAY_SECONDS: Final = 0.024
+# A relay waits at least this long for parts, in seconds: two turns of a busy
+# loop.
+MIN_MERGE_SECONDS: Final = 0.008
+# Time between two answers of a relay about one request, in seconds.
+MERGE_AGAIN_SECONDS: Final = 0.01
+
+_INFO: Final = 'info'
 EVENT_DOCUMENT_TAKEN: Final = EventKind(
     940,
-    'info',
+    _INFO,
     'document {version} is in force here, index {index}, from {source}',
 )
 EVENT_DOCUMENT_UNREADABLE: Final = EventKind(
@@ -88,17 +102,17 @@
 )
 EVENT_SEARCHER_LEARNED: Final = EventKind(
     942,
-    'info',
+    _INFO,
     'searcher {searcher} of {service} is {state} at sequence {sequence}',
 )
 EVENT_DRAIN_LEARNED: Final = EventKind(
     943,
-    'info',
+    _INFO,
     'data centre {data_centre} is out: {is_out}',
 )
 EVENT_REQUEST_DONE: Final = EventKind(
     944,
-    'info',
+    _INFO,
     'request {request} on {route}: {status} after {ms} ms, {covered} of '
     '{parts} parts, document {version}, outcome {outcome}',
 )
@@ -110,7 +124,7 @@
 )
 EVENT_REPEATED: Final = EventKind(
     946,
-    'info',
+    _INFO,
     'request {request}: {reason} of {service} after {ms} ms at {searcher}, '
     'now at {second}, budget left {budget}',
 )
@@ -127,11 +141,26 @@
 )
 EVENT_ATTEMPT_FAILED: Final = EventKind(
     949,
-    'info',
+    _INFO,
     'request {request}: {searcher} of {service} {fate} after {ms} ms: {detail}',
 )
 EVENT_NO_REPEAT: Final = EventKind(
     948,
-    'info',
+    _INFO,
     'request {request}: no repeat for {service}: {reason}',
 )
+EVENT_PARTS_RELAYED: Final = EventKind(
+    951,
+    _INFO,
+    'request {request} of {asker}: {sent} parts asked for, {held} held back',
+)
+EVENT_RELAY_ASKED: Final = EventKind(
+    952,
+    _INFO,
+    'request {request}: {parts} parts go through {relay}',
+)
+EVENT_RELAY_SUSPECT: Final = EventKind(
+    953,
+    'warning',
+    'request {request}: relay {relay} said nothing for {ms} ms',
+)
--- a/snipejunction/components/gateway/parts.py
+++ b/snipejunction/components/gateway/parts.py
@@ -8,15 +8,19 @@
 
 
 class Attempt:
-    """One send of a part to a searcher; times are monotonic seconds."""
+    """One send of a part to a searcher; times are monotonic seconds.
 
-    __slots__ = ('is_open', 'part', 'sent_at', 'upstream')
+    ``relay`` is the entry host that sends it, empty for this one.
+    """
+
+    __slots__ = ('is_open', 'part', 'relay', 'sent_at', 'upstream')
 
     def __init__(self, part: Part, upstream: Upstream, now: float) -> None:
         """Create an attempt that starts at ``now``."""
         self.part = part
         self.upstream = upstream
         self.sent_at = now
+        self.relay = ''
         self.is_open = True
 
     @property
@@ -77,3 +81,29 @@
         """Create a command; ``deadline`` is in monotonic seconds."""
         self.attempt = attempt
         self.deadline = deadline
+
+
+class SendParts(Command):
+    """Let a relay send some attempts and merge what comes."""
+
+    __slots__ = ('attempts', 'deadline', 'merge_after', 'relay', 'top')
+
+    def __init__(
+        self,
+        relay: str,
+        attempts: list[Attempt],
+        top: int,
+        deadline: float,
+        merge_after: float,
+    ) -> None:
+        """Create a command.
+
+        ``top`` is how many records the answer needs; ``deadline`` is in
+        monotonic seconds; after ``merge_after`` seconds the relay answers
+        with what it has.
+        """
+        self.relay = relay
+        self.attempts = attempts
+        self.top = top
+        self.deadline = deadline
+        self.merge_after = merge_after
--- /dev/null
+++ b/snipejunction/components/gateway/relayed.py
@@ -0,0 +1,163 @@
+"""Parts that this host gets for another entry host, and merges."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Final
+
+from snipejunction.commands import Command, LogEvent, SendPeer
+from snipejunction.components.gateway.const import (
+    EVENT_PARTS_RELAYED,
+    MERGE_AGAIN_SECONDS,
+)
+from snipejunction.components.gateway.merging import merge_records
+from snipejunction.components.gateway.messages import (
+    PartReport,
+    PartsAnswered,
+    PartsAsked,
+)
+from snipejunction.components.gateway.replies import Fate, Outcome
+from snipejunction.components.gateway.tables import GatewayTable
+from snipejunction.components.gateway.upstreams import Upstream
+from snipejunction.components.registration.const import READY, SILENT
+from snipejunction.timers import NEVER
+
+_MILLISECONDS: Final = 1000
+
+
+class SendRelayed(Command):
+    """Send the part at a position of a call to a searcher."""
+
+    __slots__ = ('deadline', 'position', 'upstream')
+
+    def __init__(
+        self,
+        position: int,
+        upstream: Upstream,
+        deadline: float,
+    ) -> None:
+        """Create a command; ``deadline`` is in monotonic seconds."""
+        self.position = position
+        self.upstream = upstream
+        self.deadline = deadline
+
+
+class RelayedParts:
+    """One call of another entry host.
+
+    The asking host chooses the searchers and repeats parts; this one only
+    holds back what it knows better: that a searcher must not be asked.
+    """
+
+    __slots__ = (
+        '_asked',
+        '_bodies',
+        '_has_told',
+        '_open',
+        '_reports',
+        '_started',
+        '_table',
+        'next_due',
+    )
+
+    def __init__(
+        self,
+        asked: PartsAsked,
+        table: GatewayTable,
+        now: float,
+    ) -> None:
+        """Take a call that came at ``now``."""
+        self._asked = asked
+        self._table = table
+        self._started = now
+        self._open: dict[int, Upstream] = {}
+        self._reports: list[PartReport] = []
+        self._bodies: list[bytes] = []
+        self._has_told = False
+        self.next_due = now + asked.merge_after
+
+    @property
+    def is_done(self) -> bool:
+        """Return whether all parts were told."""
+        return not self._open and not self._reports
+
+    def start(self, now: float) -> Iterator[Command]:
+        """Ask the searchers."""
+        deadline = now + self._asked.time_left
+        for position, searcher_id in enumerate(self._asked.searchers):
+            upstream = self._table.upstreams.get(searcher_id)
+            if upstream is None or not self._may_send(upstream):
+                unsent = Outcome(Fate.UNSENT, detail='held back by the relay')
+                self._report(position, unsent, 0)
+                continue
+            upstream.in_flight += 1
+            self._open[position] = upstream
+            yield SendRelayed(position, upstream, deadline)
+        yield LogEvent(
+            EVENT_PARTS_RELAYED,
+            request=self._asked.request_id,
+            asker=self._asked.sender,
+            sent=len(self._open),
+            held=len(self._reports),
+            left_ms=round(self._asked.time_left * _MILLISECONDS),
+        )
+        if not self._open:
+            yield from self._tell(now)
+
+    def take(
+        self,
+        position: int,
+        outcome: Outcome,
+        now: float,
+    ) -> Iterator[Command]:
+        """Take what became of a part; tell all of them once all are there."""
+        upstream = self._open.pop(position)
+        upstream.in_flight -= 1
+        upstream.note_outcome(outcome, now)
+        self._report(position, outcome, now - self._started)
+        if not self._open:
+            yield from self._tell(now)
+
+    def advance(self, now: float) -> Iterator[Command]:
+        """Tell what is there when it is time, and look again soon.
+
+        The first answer goes out without any part, too: the asking host
+        then knows that the searchers are late and not this host.
+        """
+        if self._reports or not self._has_told:
+            yield from self._tell(now)
+        else:
+            self.next_due = now + MERGE_AGAIN_SECONDS
+
+    def _may_send(self, upstream: Upstream) -> bool:
+        record = upstream.record
+        if record.state not in {READY, SILENT}:
+            return False
+        if self._table.out.get(record.data_centre, False):
+            return False
+        limit = self._table.connection_limit(record.service)
+        return upstream.in_flight < limit
+
+    def _report(self, position: int, outcome: Outcome, seconds: float) -> None:
+        reply = outcome.reply
+        if outcome.good_reply is not None:
+            self._bodies.append(outcome.good_reply.body)
+        self._reports.append(
+            PartReport(
+                position,
+                outcome.fate.value,
+                0 if reply is None else reply.status,
+                '' if reply is None else reply.signature,
+                seconds,
+                outcome.detail,
+            ),
+        )
+
+    def _tell(self, now: float) -> Iterator[Command]:
+        records = merge_records(self._bodies, self._asked.top)
+        answer = PartsAnswered(self._asked.call_id, self._reports, records)
+        self._reports = []
+        self._bodies = []
+        self._has_told = True
+        self.next_due = now + MERGE_AGAIN_SECONDS if self._open else NEVER
+        yield SendPeer(self._asked.sender, answer)
--- /dev/null
+++ b/snipejunction/components/gateway/relaying.py
@@ -0,0 +1,70 @@
+"""Which entry host gets the parts of another data centre.
+
+A host there merges them, so that one small answer travels in place of many.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from snipejunction.components.gateway.const import (
+    FORGET_SECONDS,
+    MIN_RELAYED_PARTS,
+    RELAY_AWAY_SECONDS,
+    RELAY_SECONDS,
+)
+from snipejunction.components.gateway.parts import Attempt
+from snipejunction.components.gateway.tables import GatewayTable
+from snipejunction.helpers.rendezvous import rank
+
+
+def wanted_relays(table: GatewayTable) -> set[str]:
+    """Return the entry hosts to keep a stream to, one in a data centre."""
+    if not table.is_active:
+        return set()
+    by_place: dict[str, list[str]] = {}
+    for name, record in table.active.items():
+        by_place.setdefault(record.data_centre, []).append(name)
+    by_place.pop(table.data_centre, None)
+    return {rank(table.name, names)[0] for names in by_place.values()}
+
+
+def group_by_relay(
+    attempts: Iterable[Attempt],
+    table: GatewayTable,
+    now: float,
+) -> dict[str, list[Attempt]]:
+    """Return the attempts by the host that sends them.
+
+    Those that this host sends itself are under the empty name. A relay has
+    a stream to this host and was not late a moment ago.
+    """
+    relays = {
+        record.data_centre: record.name
+        for record in table.active.values()
+        if record.name in table.relays.linked
+        and not _is_late(record.name, table, now)
+    }
+    relays[table.data_centre] = ''
+    groups: dict[str, list[Attempt]] = {}
+    for attempt in attempts:
+        place = attempt.upstream.record.data_centre
+        groups.setdefault(relays.get(place, ''), []).append(attempt)
+    direct = groups.setdefault('', [])
+    for relay, relayed in list(groups.items()):
+        if relay and len(relayed) < MIN_RELAYED_PARTS:
+            direct.extend(groups.pop(relay))
+    return groups
+
+
+def relay_delay(relay: str, table: GatewayTable) -> float:
+    """Return what merging at a relay adds to a part, in seconds."""
+    record = table.active[relay]
+    if record.region == table.region:
+        return RELAY_SECONDS
+    return RELAY_AWAY_SECONDS
+
+
+def _is_late(name: str, table: GatewayTable, now: float) -> bool:
+    late_at = table.relays.late_at.get(name)
+    return late_at is not None and now < late_at + FORGET_SECONDS
--- a/snipejunction/components/gateway/replies.py
+++ b/snipejunction/components/gateway/replies.py
@@ -16,10 +16,11 @@
     """A complete answer of a searcher.
 
     ``signature`` is the searcher's proof of origin, empty without one.
-    ``headers`` are those that go on to the caller, as names and values.
+    ``headers`` are those that go on to the caller, as names and values. If
+    ``is_merged``, the records of several replies are in the body of one.
     """
 
-    __slots__ = ('body', 'headers', 'signature', 'status')
+    __slots__ = ('body', 'headers', 'is_merged', 'signature', 'status')
 
     def __init__(
         self,
@@ -27,12 +28,15 @@
         headers: list[tuple[bytes, bytes]],
         body: bytes,
         signature: str,
+        *,
+        is_merged: bool = False,
     ) -> None:
         """Create a reply."""
         self.status = status
         self.headers = headers
         self.body = body
         self.signature = signature
+        self.is_merged = is_merged
 
     @property
     def is_success(self) -> bool:
@@ -66,20 +70,33 @@
 
 
 class Outcome(Record):
-    """How an attempt ended; ``reply`` is there if it was answered."""
+    """How an attempt ended; ``reply`` is there if it was answered.
+
+    ``seconds`` is the time at the searcher, if another host measured it.
+    """
 
-    __slots__ = ('detail', 'fate', 'reply')
+    __slots__ = ('detail', 'fate', 'reply', 'seconds')
 
     def __init__(
         self,
         fate: Fate,
         reply: Reply | None = None,
         detail: str = '',
+        seconds: float | None = None,
     ) -> None:
         """Create an outcome; ``detail`` is for the log."""
         self.fate = fate
         self.reply = reply
         self.detail = detail
+        self.seconds = seconds
+
+    @property
+    def good_reply(self) -> Reply | None:
+        """Return a success with proof of origin, if it is one."""
+        reply = self.reply
+        if reply is not None and reply.is_success and reply.signature:
+            return reply
+        return None
 
 
 class Answer(Record):
--- a/snipejunction/components/gateway/run.py
+++ b/snipejunction/components/gateway/run.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from typing import Final
 
 from snipejunction.commands import Command, LogEvent
@@ -17,6 +17,8 @@
     DEADLINE_MARGIN_SECONDS,
     EVENT_ATTEMPT_FAILED,
     EVENT_NO_REPEAT,
+    EVENT_RELAY_ASKED,
+    EVENT_RELAY_SUSPECT,
     EVENT_REPEATED,
     EVENT_SEARCHER_SUSPECT,
     HEDGE_MEDIANS,
@@ -24,23 +26,26 @@
     MAX_REFUSED_ARRIVALS,
     MAX_SENDS,
     MIN_HEDGE_SECONDS,
+    MIN_MERGE_SECONDS,
 )
 from snipejunction.components.gateway.document import Route
 from snipejunction.components.gateway.parts import (
     Attempt,
     Part,
     SendAttempt,
+    SendParts,
+)
+from snipejunction.components.gateway.relaying import (
+    group_by_relay,
+    relay_delay,
 )
 from snipejunction.components.gateway.replies import (
     Answer,
-    Fate,
     Outcome,
-    Reply,
 )
 from snipejunction.components.gateway.routing import pick_target
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.components.gateway.upstreams import Upstream
-from snipejunction.components.registration.const import GONE
 from snipejunction.timers import NEVER
 
 _MILLISECONDS: Final = 1000
@@ -56,6 +61,7 @@
     __slots__ = (
         '_answer_by',
         '_covered',
+        '_heard_relays',
         '_next_due',
         '_route',
         '_started',
@@ -90,6 +96,7 @@
         self.parts = [Part(service) for service in services]
         self.answer: Answer | None = None
         self._covered = 0
+        self._heard_relays: set[str] = set()
         self._next_due = self.deadline
 
     @property
@@ -112,9 +119,11 @@
         if not self._suffices(len(chosen)):
             self.answer = make_refusal(len(self.parts))
             return
+        attempts = []
         for part, upstream in chosen:
             self._table.budget(part.service).note_request(now)
-            yield self._send(part, upstream, now)
+            attempts.append(self._attempt(part, upstream, now))
+        yield from self._send_all(attempts, now)
         self._schedule(now)
 
     def advance(self, now: float) -> Iterator[Command]:
@@ -125,9 +134,7 @@
         for part in self.parts:
             if now >= self._hedge_due(part, wait):
                 part.has_hedged = True
-                late = part.open_attempts[0]
-                if late.upstream.note_late(now):
-                    yield _suspect(late.upstream, 'answers nothing', now)
+                yield from self._suspect(part.open_attempts[0], now)
                 yield from self._repeat(part, 'late part', now)
         self._schedule(now)
         self._conclude(now)
@@ -139,6 +146,27 @@
         now: float,
     ) -> Iterator[Command]:
         """Take the outcome of an attempt; late ones only teach."""
+        yield from self._take_one(attempt, outcome, now)
+        self._conclude(now)
+
+    def take_merged(
+        self,
+        relay: str,
+        outcomes: Sequence[tuple[Attempt, Outcome]],
+        now: float,
+    ) -> Iterator[Command]:
+        """Take what a relay merged: all of it or, too late, nothing."""
+        self._heard_relays.add(relay)
+        for attempt, outcome in outcomes:
+            yield from self._take_one(attempt, outcome, now)
+        self._conclude(now)
+
+    def _take_one(
+        self,
+        attempt: Attempt,
+        outcome: Outcome,
+        now: float,
+    ) -> Iterator[Command]:
         if not attempt.is_open:
             return
         attempt.is_open = False
@@ -148,20 +176,23 @@
         if outcome.fate.has_arrived:
             part.arrived += 1
         self._learn(attempt, outcome, now)
-        if outcome.reply is None or not self._is_good(outcome.reply):
+        reply = outcome.good_reply
+        if reply is None:
             yield self._failure_event(attempt, outcome, now)
-        if self.answer is not None or part.reply is not None:
+        if self.answer is not None:
             return
-        reply = outcome.reply
-        if reply is not None and self._is_good(reply):
-            part.reply = reply
-            self._covered += 1
-        else:
+        if reply is not None:
+            if part.reply is None:
+                self._covered += 1
+            # Merged records cannot be taken apart, so a merged reply takes
+            # the place of a single one.
+            if part.reply is None or reply.is_merged:
+                part.reply = reply
+        elif part.reply is None:
             part.failure = outcome
             if not part.open_attempts:
                 yield from self._retry(part, outcome, now)
                 self._schedule(now)
-        self._conclude(now)
 
     def _failure_event(
         self,
@@ -183,9 +214,6 @@
             left_ms=round((self.deadline - now) * _MILLISECONDS),
         )
 
-    def _is_good(self, reply: Reply) -> bool:
-        return reply.is_success and bool(reply.signature)
-
     def _choose(self, part: Part, now: float) -> Upstream | None:
         return choose_upstream(
             part.service,
@@ -195,13 +223,52 @@
             now,
         )
 
-    def _send(self, part: Part, upstream: Upstream, now: float) -> Command:
+    def _attempt(self, part: Part, upstream: Upstream, now: float) -> Attempt:
         attempt = Attempt(part, upstream, now)
         part.attempts.append(attempt)
         upstream.in_flight += 1
         if now < upstream.cold_until:
             upstream.last_cold_send = now
-        return SendAttempt(attempt, self.deadline)
+        return attempt
+
+    def _send_all(
+        self,
+        attempts: list[Attempt],
+        now: float,
+    ) -> Iterator[Command]:
+        """Send first attempts, those for another data centre together."""
+        groups = {'': attempts}
+        if self._route.shards:
+            groups = group_by_relay(attempts, self._table, now)
+        for attempt in groups.pop('', ()):
+            yield SendAttempt(attempt, self.deadline)
+        for relay, relayed in groups.items():
+            yield LogEvent(
+                EVENT_RELAY_ASKED,
+                request=self.request_id,
+                relay=relay,
+                parts=len(relayed),
+            )
+            yield self._ask_relay(relay, relayed, now)
+
+    def _ask_relay(
+        self,
+        relay: str,
+        attempts: list[Attempt],
+        now: float,
+    ) -> Command:
+        for attempt in attempts:
+            attempt.relay = relay
+        # What the relay has by then is here before hedges begin.
+        wait = min(self._hedge_wait(), self._answer_by - now)
+        merge_after = wait - relay_delay(relay, self._table)
+        return SendParts(
+            relay,
+            attempts,
+            self._route.top,
+            self.deadline,
+            max(merge_after, MIN_MERGE_SECONDS),
+        )
 
     def _schedule(self, now: float) -> None:
         """Look up when time alone may change something."""
@@ -280,23 +347,42 @@
             news_age=round(now - upstream.learned_at, 1),
             left_ms=round((self.deadline - now) * _MILLISECONDS),
         )
-        yield self._send(part, upstream, now)
+        yield SendAttempt(self._attempt(part, upstream, now), self.deadline)
+
+    def _suspect(self, late: Attempt, now: float) -> Iterator[Command]:
+        """Hold an attempt that is late against its searcher or relay."""
+        relay = late.relay
+        if relay and relay not in self._heard_relays:
+            self._heard_relays.add(relay)
+            self._table.relays.late_at[relay] = now
+            yield LogEvent(
+                EVENT_RELAY_SUSPECT,
+                request=self.request_id,
+                relay=relay,
+                ms=round((now - late.sent_at) * _MILLISECONDS, 1),
+            )
+        elif late.upstream.note_late(now):
+            yield LogEvent(
+                EVENT_SEARCHER_SUSPECT,
+                searcher=late.upstream.searcher_id,
+                service=late.upstream.record.service,
+                address=late.upstream.record.address,
+                reason='answers nothing',
+                news_age=round(now - late.upstream.learned_at, 1),
+            )
 
     def _learn(self, attempt: Attempt, outcome: Outcome, now: float) -> None:
         upstream = attempt.upstream
         upstream.in_flight -= 1
-        if outcome.fate is Fate.MISDIRECTED:
-            upstream.record.state = GONE
-        elif outcome.fate is Fate.REFUSED:
-            upstream.note_refused(now)
-            upstream.note_failure(now)
-        elif outcome.reply is not None and self._is_good(outcome.reply):
+        upstream.note_outcome(outcome, now)
+        if outcome.good_reply is None:
+            return
+        elapsed = outcome.seconds
+        if elapsed is None:
             elapsed = now - attempt.sent_at
-            times = self._table.times_of(self._route.name)
-            times.add(elapsed)
-            upstream.note_time(elapsed / (times.median or elapsed), now)
-        elif outcome.fate is not Fate.UNSENT:
-            upstream.note_failure(now)
+        times = self._table.times_of(self._route.name)
+        times.add(elapsed)
+        upstream.note_time(elapsed / (times.median or elapsed), now)
 
     def _suffices(self, covered: int) -> bool:
         if not self._route.shards:
@@ -324,14 +410,3 @@
                 self.parts,
                 is_late=is_late,
             )
-
-
-def _suspect(upstream: Upstream, reason: str, now: float) -> LogEvent:
-    return LogEvent(
-        EVENT_SEARCHER_SUSPECT,
-        searcher=upstream.searcher_id,
-        service=upstream.record.service,
-        address=upstream.record.address,
-        reason=reason,
-        news_age=round(now - upstream.learned_at, 1),
-    )
--- a/snipejunction/components/gateway/tables.py
+++ b/snipejunction/components/gateway/tables.py
@@ -17,6 +17,21 @@
 from snipejunction.components.gateway.upstreams import Upstream
 
 
+class RelayTable:
+    """Entry hosts that get parts for this one, by name.
+
+    ``linked`` are those with a stream; ``late_at`` is when parts that they
+    were asked for were late, in monotonic seconds.
+    """
+
+    __slots__ = ('late_at', 'linked')
+
+    def __init__(self) -> None:
+        """Create a table without relays."""
+        self.linked: set[str] = set()
+        self.late_at: dict[str, float] = {}
+
+
 class GatewayTable:
     """All that an entry host knows; its systems read and change it.
 
@@ -40,8 +55,8 @@
         'name',
         'out',
         'random',
-        'region',
         'regions',
+        'relays',
         'routes',
         'started',
         'times',
@@ -62,7 +77,6 @@
         self.name = name
         self.data_centre = data_centre
         self.regions = regions
-        self.region = regions.get(data_centre, data_centre)
         self.limits = limits
         self.random = random
         self.started = started
@@ -76,11 +90,17 @@
         self.controls_at: float | None = None
         self.hosts_by_sender: dict[str, HostsFed] = {}
         self.active: dict[str, EntryRecord] = {}
+        self.relays = RelayTable()
         self.upstreams: dict[str, Upstream] = {}
         self.upstreams_by_service: dict[str, dict[str, Upstream]] = {}
         self.budgets: dict[str, RepeatBudget] = {}
         self.times: dict[str, QuantileWindow] = {}
 
+    @property
+    def region(self) -> str:
+        """Return the region of this host."""
+        return self.regions.get(self.data_centre, self.data_centre)
+
     @property
     def controls(self) -> dict[str, str]:
         """Return the data centres of all known control hosts by name."""
--- a/snipejunction/components/gateway/upstreams.py
+++ b/snipejunction/components/gateway/upstreams.py
@@ -10,7 +10,9 @@
     REFUSED_SECONDS,
     SLOW_WEIGHT,
 )
+from snipejunction.components.gateway.replies import Fate, Outcome
 from snipejunction.components.registration.belief import SearcherBelief
+from snipejunction.components.registration.const import GONE
 from snipejunction.components.registration.messages import SearcherRecord
 
 _HALF = 0.5
@@ -65,17 +67,21 @@
         self._failure -= self._failure * FAILURE_WEIGHT
         self.stalled_at = None
 
+    def note_outcome(self, outcome: Outcome, now: float) -> None:
+        """Take how an attempt ended; the time of a good one goes apart."""
+        if outcome.fate is Fate.MISDIRECTED:
+            self.record.state = GONE
+        elif outcome.fate is Fate.REFUSED:
+            self._note_refused(now)
+            self.note_failure(now)
+        elif outcome.fate is not Fate.UNSENT and outcome.good_reply is None:
+            self.note_failure(now)
+
     def note_failure(self, now: float) -> None:
         """Take an attempt that failed."""
         self._settle(now)
         self._failure += (1 - self._failure) * FAILURE_WEIGHT
 
-    def note_refused(self, now: float) -> None:
-        """Take a connection that was refused."""
-        pause = min(MAX_REFUSED_SECONDS, REFUSED_SECONDS * 2**self._refusals)
-        self._refusals += 1
-        self.refused_until = now + pause
-
     def note_late(self, now: float) -> bool:
         """Take an attempt that is late; return whether it is the first."""
         if self.stalled_at is not None:
@@ -89,6 +95,11 @@
             return False
         return now < self.stalled_at + FORGET_SECONDS
 
+    def _note_refused(self, now: float) -> None:
+        pause = min(MAX_REFUSED_SECONDS, REFUSED_SECONDS * 2**self._refusals)
+        self._refusals += 1
+        self.refused_until = now + pause
+
     def _memory(self, now: float) -> float:
         return float(_HALF ** ((now - self._sampled_at) / FORGET_SECONDS))
 
--- a/snipejunction/edge/gateway/control_link.py
+++ b/snipejunction/edge/gateway/control_link.py
@@ -30,11 +30,13 @@
     take_hosts,
     take_searchers,
 )
+from snipejunction.components.gateway.messages import PartsMessage
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.components.registration.const import GONE
 from snipejunction.components.registration.messages import SearcherNews
 from snipejunction.edge import const
 from snipejunction.edge.gateway.host_profile import HostProfile, find_address
+from snipejunction.edge.gateway.relays import Relays
 from snipejunction.edge.keys import PeerKeys
 from snipejunction.edge.peers import Address, PeerTable
 from snipejunction.messages import Message, PeerConnected, PeerLost
@@ -45,6 +47,10 @@
 
     table: GatewayTable
 
+    @property
+    def relays(self) -> Relays:
+        """Return the entry hosts that this one works with."""
+
     @property
     def is_ready(self) -> bool:
         """Return whether the host takes new work."""
@@ -87,6 +93,12 @@
             loop,
         )
 
+    @property
+    def connected(self) -> list[str]:
+        """Return the control hosts with a stream."""
+        relays = self._hooks.relays
+        return [one for one in self.peers.connected if not relays.knows(one)]
+
     def start(self) -> None:
         """Begin to announce this host."""
         self.peers.start(None)
@@ -106,7 +118,7 @@
         """Tell the control hosts that it needs how this host is."""
         names = told_controls(
             self._hooks.table,
-            self.peers.connected,
+            self.connected,
             self._profile.seeds,
         )
         feeding = self._feeding()
@@ -141,14 +153,23 @@
 
     @_take.register
     def _take_connected(self, message: PeerConnected) -> None:
-        wants_news = message.host in self._feeding()
-        self.peers.send(message.host, self._presence(wants_news))
+        name = message.host
+        self._hooks.relays.note_connected(name)
+        if name in self._hooks.table.controls or name in self._profile.seeds:
+            self.peers.send(name, self._presence(name in self._feeding()))
 
     @_take.register
     def _take_lost(self, message: PeerLost) -> None:
-        lose_control(message.host, self._hooks.table)
-        # Others may have to take its place.
-        self.send_presence()
+        is_entry = self._hooks.relays.knows(message.host)
+        self._hooks.relays.note_lost(message.host)
+        if not is_entry:
+            lose_control(message.host, self._hooks.table)
+            # Others may have to take its place.
+            self.send_presence()
+
+    @_take.register
+    def _take_parts(self, message: PartsMessage) -> None:
+        self._hooks.relays.take(message)
 
     @_take.register
     def _take_deployment(self, message: DeploymentFed) -> None:
@@ -191,7 +212,7 @@
     def _feeding(self) -> set[str]:
         return feeding_controls(
             self._hooks.table,
-            self.peers.connected,
+            self.connected,
             self._loop.time(),
         )
 
@@ -209,7 +230,8 @@
     def _keep_announcing(self) -> None:
         self.send_presence()
         self._close_needless()
-        is_found = bool(self.peers.connected)
+        self._hooks.relays.open_streams()
+        is_found = bool(self.connected)
         self._timer = self._loop.call_later(
             PRESENCE_SECONDS if is_found else SEARCH_SECONDS,
             self._keep_announcing,
@@ -219,7 +241,7 @@
         now = self._loop.time()
         needless = needless_controls(
             self._hooks.table,
-            self.peers.connected,
+            self.connected,
             self._profile.seeds,
         )
         for name in self._needless_since.keys() - needless:
--- a/snipejunction/edge/gateway/forwarding.py
+++ b/snipejunction/edge/gateway/forwarding.py
@@ -18,13 +18,19 @@
     Attempt,
     Part,
     SendAttempt,
+    SendParts,
 )
 from snipejunction.components.gateway.replies import SUCCESSES, Answer, Outcome
 from snipejunction.components.gateway.run import RequestRun
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.edge.gateway.caller_connection import CallerRequest
 from snipejunction.edge.gateway.dialect import Dialect
-from snipejunction.edge.gateway.headers import end_to_end
+from snipejunction.edge.gateway.headers import complete_head, end_to_end
+from snipejunction.edge.gateway.relay_calls import (
+    MergedOutcomes,
+    RelayCall,
+    RelayCalls,
+)
 from snipejunction.edge.gateway.searcher_pool import SearcherPool, Sending
 from snipejunction.edge.gateway.service_metrics import ServiceMetrics
 
@@ -39,6 +45,10 @@
     pool: SearcherPool
     metrics: ServiceMetrics
 
+    @property
+    def relay_calls(self) -> RelayCalls:
+        """Return the calls to other entry hosts."""
+
     def log(self, event: LogEvent) -> None:
         """Write an event."""
 
@@ -53,7 +63,8 @@
         '_hooks',
         '_is_gone',
         '_loop',
-        '_prefix',
+        '_head',
+        '_relay_calls',
         '_request',
         '_route',
         '_run',
@@ -75,8 +86,9 @@
         self._route = route
         self._hooks = hooks
         self._loop = loop
-        self._prefix = _prefix_of(request, hooks.dialect)
+        self._head = _head_of(request, hooks.dialect)
         self._sendings: dict[Attempt, Sending] = {}
+        self._relay_calls: list[RelayCall] = []
         self._timer: asyncio.TimerHandle | None = None
         self._is_gone = False
         request.on_gone = self._leave
@@ -88,8 +100,7 @@
 
     def give_up(self, detail: str) -> None:
         """Abort what is open: the host has to end now."""
-        for sending in list(self._sendings.values()):
-            sending.cancel(detail)
+        self._cancel_all(detail)
         self._settle()
 
     def _advance(self) -> None:
@@ -108,25 +119,42 @@
                 if command.attempt.is_repeat:
                     self._hooks.metrics.note_repeat()
                 self._send(command)
+            elif isinstance(command, SendParts):
+                self._ask(command)
             elif isinstance(command, LogEvent):
                 self._hooks.log(command)
 
     def _send(self, command: SendAttempt) -> None:
         attempt = command.attempt
-        left = command.deadline - self._loop.time()
-        content = b'%s%s: %d\r\n%s: %s\r\n\r\n%s' % (
-            self._prefix,
-            self._hooks.dialect.deadline,
-            max(1, int(left * _MILLISECONDS)),
-            self._hooks.dialect.expected_searcher,
-            attempt.upstream.searcher_id.encode(),
-            self._request.body,
+        head = complete_head(
+            self._head,
+            self._hooks.dialect,
+            command.deadline - self._loop.time(),
+            attempt.upstream.searcher_id,
+        )
+        sending = Sending(
+            head + self._request.body,
+            self._run.request_id.encode('latin-1'),
+            partial(self._take, attempt),
         )
-        request_id = self._run.request_id.encode()
-        sending = Sending(content, request_id, partial(self._take, attempt))
         self._sendings[attempt] = sending
         self._hooks.pool.send(attempt.upstream, sending)
 
+    def _ask(self, command: SendParts) -> None:
+        call = self._hooks.relay_calls.ask(
+            command,
+            self._run.request_id,
+            self._head,
+            self._request.body,
+            self._take_merged,
+        )
+        self._relay_calls.append(call)
+
+    def _take_merged(self, relay: str, outcomes: MergedOutcomes) -> None:
+        now = self._loop.time()
+        self._execute(self._run.take_merged(relay, outcomes, now))
+        self._settle()
+
     def _settle(self) -> None:
         answer = self._run.answer
         if answer is None and not self._is_gone:
@@ -201,12 +229,20 @@
 
     def _abandon_later(self) -> None:
         # Most work ends soon, and then its connection can be used again.
-        if self._sendings:
-            self._loop.call_later(ABANDON_SECONDS, self._abandon)
-
-    def _abandon(self) -> None:
+        if self._sendings or any(
+            one.open_attempts for one in self._relay_calls
+        ):
+            self._loop.call_later(
+                ABANDON_SECONDS,
+                self._cancel_all,
+                'nobody waits for it',
+            )
+
+    def _cancel_all(self, detail: str) -> None:
         for sending in list(self._sendings.values()):
-            sending.cancel('nobody waits for it')
+            sending.cancel(detail)
+        for call in self._relay_calls:
+            self._hooks.relay_calls.cancel(call, detail)
 
 
 def _lacking(run: RequestRun) -> list[str]:
@@ -229,7 +265,7 @@
     return ', '.join(tries) or 'nobody to ask'
 
 
-def _prefix_of(request: CallerRequest, dialect: Dialect) -> bytes:
+def _head_of(request: CallerRequest, dialect: Dialect) -> bytes:
     """Return the head for searchers, but for what each attempt sets."""
     own = (dialect.deadline, dialect.expected_searcher)
     lines = [b'%s %s HTTP/1.1' % (request.method, request.target)]
--- a/snipejunction/edge/gateway/gateway_host.py
+++ b/snipejunction/edge/gateway/gateway_host.py
@@ -26,6 +26,8 @@
 from snipejunction.edge.gateway.forwarding import ForwardedRequest
 from snipejunction.edge.gateway.host_profile import HostProfile
 from snipejunction.edge.gateway.http_server import HttpServer
+from snipejunction.edge.gateway.relay_calls import RelayCalls
+from snipejunction.edge.gateway.relays import Relays
 from snipejunction.edge.gateway.searcher_pool import SearcherPool
 from snipejunction.edge.gateway.service_metrics import Gauges, ServiceMetrics
 from snipejunction.edge.keys import PeerKeys
@@ -92,6 +94,17 @@
             self,
             loop,
         )
+        self._relays = Relays(self.link.peers, self, loop)
+
+    @property
+    def relay_calls(self) -> RelayCalls:
+        """Return the calls to other entry hosts."""
+        return self._relays.calls
+
+    @property
+    def relays(self) -> Relays:
+        """Return the entry hosts that this one works with."""
+        return self._relays
 
     @property
     def failure(self) -> StorageError | None:
@@ -141,7 +154,7 @@
         await asyncio.sleep(self._profile.grace_seconds * _ACCEPT_SHARE)
         self.callers.stop_listening()
         end = started + self._profile.grace_seconds * _GRACE_SHARE
-        while self.callers.is_busy and self._loop.time() < end:
+        while self._is_busy and self._loop.time() < end:
             await asyncio.sleep(_STOP_POLL_SECONDS)
         for run in list(self._runs):
             run.give_up('this host stops')
@@ -173,6 +186,10 @@
         """Close the idle connections to a searcher."""
         self.pool.drop(searcher_id)
 
+    @property
+    def _is_busy(self) -> bool:
+        return self.callers.is_busy or self._relays.jobs.is_busy
+
     def _gauges(self) -> Gauges:
         table = self.table
         now = self._loop.time()
@@ -188,7 +205,11 @@
             'deployment_index': ('Index of the deployment.', table.index),
             'control_streams': (
                 'Streams to control hosts.',
-                len(self.link.peers.connected),
+                len(self.link.connected),
+            ),
+            'relays': (
+                'Other entry hosts with a stream.',
+                len(table.relays.linked),
             ),
             'active_hosts': (
                 'Entry hosts that callers are told to use.',
--- a/snipejunction/edge/gateway/headers.py
+++ b/snipejunction/edge/gateway/headers.py
@@ -5,8 +5,11 @@
 from collections.abc import Container
 from typing import Final, TypeAlias
 
+from snipejunction.edge.gateway.dialect import Dialect
+
 Headers: TypeAlias = list[tuple[bytes, bytes]]
 
+_MILLISECONDS: Final = 1000
 # Headers that concern one connection only.
 _HOP_HEADERS: Final = frozenset(
     (
@@ -45,3 +48,23 @@
 def plain_headers(content_type: bytes) -> Headers:
     """Return the headers of an answer of this host itself."""
     return [(b'content-type', content_type)]
+
+
+def complete_head(
+    head: bytes,
+    dialect: Dialect,
+    left: float,
+    searcher_id: str,
+) -> bytes:
+    """Return the head of a request to one searcher.
+
+    ``head`` is what all searchers get; ``left`` is the time in seconds that
+    the searcher has.
+    """
+    return b'%s%s: %d\r\n%s: %s\r\n\r\n' % (
+        head,
+        dialect.deadline,
+        max(1, int(left * _MILLISECONDS)),
+        dialect.expected_searcher,
+        searcher_id.encode(),
+    )
--- /dev/null
+++ b/snipejunction/edge/gateway/relay_calls.py
@@ -0,0 +1,137 @@
+"""Parts that another entry host gets for requests of this one."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import TypeAlias
+
+from snipejunction.components.gateway.messages import (
+    PartReport,
+    PartsAbandoned,
+    PartsAnswered,
+    PartsAsked,
+)
+from snipejunction.components.gateway.parts import Attempt, SendParts
+from snipejunction.components.gateway.replies import Fate, Outcome, Reply
+from snipejunction.edge.peers import PeerTable
+
+MergedOutcomes: TypeAlias = list[tuple[Attempt, Outcome]]
+OnMerged: TypeAlias = Callable[[str, MergedOutcomes], None]
+
+
+class RelayCall:
+    """One call to a relay; its attempts end one after the other."""
+
+    __slots__ = ('_on_merged', 'call_id', 'open_attempts', 'relay')
+
+    def __init__(
+        self,
+        call_id: int,
+        command: SendParts,
+        on_merged: OnMerged,
+    ) -> None:
+        """Create a call that waits for all of its attempts."""
+        self.call_id = call_id
+        self.relay = command.relay
+        self.open_attempts = dict(enumerate(command.attempts))
+        self._on_merged = on_merged
+
+    def take(self, message: PartsAnswered) -> None:
+        """Pass on what the relay tells of parts that are still open."""
+        outcomes: MergedOutcomes = []
+        body = message.records
+        for report in message.reports:
+            attempt = self.open_attempts.pop(report.position, None)
+            if attempt is None:
+                continue
+            outcome = _outcome_of(report, body)
+            if outcome.good_reply is not None:
+                # The records of all parts are in the first reply.
+                body = b''
+            outcomes.append((attempt, outcome))
+        self._on_merged(self.relay, outcomes)
+
+    def fail(self, detail: str) -> None:
+        """End all open attempts: they may have run."""
+        attempts = list(self.open_attempts.values())
+        self.open_attempts.clear()
+        lost = Outcome(Fate.LOST, detail=detail)
+        self._on_merged(self.relay, [(attempt, lost) for attempt in attempts])
+
+
+class RelayCalls:
+    """All calls of this host to relays."""
+
+    def __init__(
+        self,
+        peers: PeerTable,
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        """Create the calls over the streams of this host."""
+        self._peers = peers
+        self._loop = loop
+        self._calls: dict[int, RelayCall] = {}
+        self._last_id = 0
+
+    def ask(
+        self,
+        command: SendParts,
+        request_id: str,
+        head: bytes,
+        body: bytes,
+        on_merged: OnMerged,
+    ) -> RelayCall:
+        """Send a call; ``on_merged`` is called with each answer."""
+        self._last_id += 1
+        call = RelayCall(self._last_id, command, on_merged)
+        self._calls[call.call_id] = call
+        asked = PartsAsked(
+            call.call_id,
+            request_id,
+            head,
+            body,
+            [one.upstream.searcher_id for one in command.attempts],
+            command.top,
+            command.deadline - self._loop.time(),
+            command.merge_after,
+        )
+        self._peers.send(command.relay, asked)
+        return call
+
+    def cancel(self, call: RelayCall, detail: str) -> None:
+        """Give a call up and let the relay know."""
+        if self._calls.pop(call.call_id, None) is None:
+            return
+        self._peers.send(call.relay, PartsAbandoned(call.call_id))
+        call.fail(detail)
+
+    def take(self, message: PartsAnswered) -> None:
+        """Take an answer; one to a call that is over is dropped."""
+        call = self._calls.get(message.call_id)
+        if call is None or call.relay != message.sender:
+            return
+        call.take(message)
+        if not call.open_attempts:
+            self._calls.pop(call.call_id, None)
+
+    def lose(self, relay: str) -> None:
+        """End the calls to a relay whose stream is lost."""
+        for call in list(self._calls.values()):
+            if call.relay == relay:
+                self._calls.pop(call.call_id, None)
+                call.fail('the stream to the relay is lost')
+
+
+def _outcome_of(report: PartReport, body: bytes) -> Outcome:
+    fate = Fate(report.fate)
+    reply = None
+    if report.status:
+        reply = Reply(
+            report.status,
+            [],
+            body,
+            report.signature,
+            is_merged=True,
+        )
+    return Outcome(fate, reply, report.detail, report.seconds)
--- a/snipejunction/edge/peers.py
+++ b/snipejunction/edge/peers.py
@@ -134,6 +134,12 @@
         peer.waiting.append((self._loop.time(), message))
         self._dial(host, peer)
 
+    def connect(self, host: str) -> None:
+        """Open a stream to a host, unless there is one or one is opening."""
+        peer = self._peers.setdefault(host, _Peer())
+        if not peer.streams:
+            self._dial(host, peer)
+
     def drop(self, host: str, reason: str) -> None:
         """Close all streams with a host."""
         peer = self._peers.get(host)
--- a/tests/components/gateway/test_run.py
+++ b/tests/components/gateway/test_run.py
@@ -283,10 +283,10 @@
         """A searcher that goes on refusing is left alone for longer."""
         self.begin(make_route())
         upstream = self.sent[0].upstream
-        upstream.note_refused(10)
+        upstream.note_outcome(Outcome(Fate.REFUSED), 10)
         first = upstream.refused_until - 10
         for _ in range(9):
-            upstream.note_refused(20)
+            upstream.note_outcome(Outcome(Fate.REFUSED), 20)
         self.assertThat(upstream.refused_until - 20, GreaterThan(first * 4))
         self.assertThat(upstream.refused_until - 20, LessThan(5))
 
--- a/tests/edge/gateway/test_gateway_host.py
+++ b/tests/edge/gateway/test_gateway_host.py
@@ -42,13 +42,16 @@
 LIMITS = CallerLimits(2048, 4096, 0.3, 0.3)
 
 
-def make_profile() -> HostProfile:
+def make_profile(
+    peer_port: int = 0,
+    data_centre: str = 'near',
+) -> HostProfile:
     """Return the profile of a host that knows no control host."""
     return HostProfile(
         ip='127.0.0.1',
-        peer_port=0,
-        data_centre='near',
-        regions={'near': 'one'},
+        peer_port=peer_port,
+        data_centre=data_centre,
+        regions={'near': 'one', 'beside': 'one'},
         seeds=(),
         is_first_start=False,
         incarnation='i',
--- /dev/null
+++ b/tests/edge/gateway/test_relays.py
@@ -0,0 +1,175 @@
+"""Two entry hosts with a stream between them."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from contextlib import AsyncExitStack
+from functools import partial
+
+from testtools import TestCase
+from testtools.matchers import Contains, Equals, Is, LessThan
+
+from snipejunction.components.deployment.messages import (
+    DeploymentFed,
+    EntryRecord,
+    HostsFed,
+)
+from snipejunction.components.gateway.document import Document, Service
+from snipejunction.components.registration.messages import SearcherNews
+from snipejunction.edge.event_log import EventLog
+from snipejunction.edge.gateway.gateway_host import GatewayHost
+from snipejunction.edge.keys import PeerKeys
+from tests.components.gateway.stage import make_record, make_route
+from tests.edge.gateway.scripted import (
+    DIALECT,
+    ScriptedSearcher,
+    Visit,
+    answer,
+    async_call,
+    in_loop,
+    request,
+)
+from tests.edge.gateway.test_gateway_host import LIMITS, make_profile
+
+SHARDS = ('s1', 's2', 's3')
+PLACES = ('near', 'beside')
+
+
+async def async_answer(visit: Visit) -> None:
+    """Answer with a record that names the searcher."""
+    shard = visit.header('x-expected')[-1].encode()
+    signature = f'X-Signature: sig-{shard.decode()}'
+    content = answer(visit.request_id, shard * 16)
+    visit.writer.write(content.replace(b'X-Signature: sig', signature.encode()))
+
+
+async def async_hang(ids: set[str], visit: Visit) -> None:
+    """Answer nothing for some searchers."""
+    if visit.header('x-expected') in ids:
+        await visit.reader.read()
+        raise ConnectionResetError
+    await async_answer(visit)
+
+
+def free_port() -> int:
+    """Return a port that nobody listens on."""
+    with socket.create_server(('127.0.0.1', 0)) as server:
+        return int(server.getsockname()[1])
+
+
+class RelaysTest(TestCase):
+    """The first host has callers, the second one has the searchers."""
+
+    async def async_open(self, stack: AsyncExitStack, script) -> None:
+        loop = asyncio.get_running_loop()
+        self.hosts = []
+        for place in PLACES:
+            reading, writing = socket.socketpair()
+            stack.callback(reading.close)
+            stack.callback(writing.close)
+            host = GatewayHost(
+                make_profile(free_port(), place),
+                PeerKeys([b'0123456789abcdef']),
+                DIALECT,
+                self.read,
+                EventLog('h', 'entry', loop, writing.fileno()),
+                1,
+            )
+            await stack.enter_async_context(host)
+            self.hosts.append(host)
+        self.searchers = []
+        for shard in SHARDS:
+            searcher = ScriptedSearcher(script)
+            await stack.enter_async_context(searcher)
+            self.searchers.append(searcher)
+        self.inform()
+        self.address = ('127.0.0.1', self.hosts[0].callers.port)
+        table = self.hosts[0].table
+        while not table.relays.linked:
+            self.hosts[0].relays.open_streams()
+            await asyncio.sleep(0.001)
+
+    def inform(self) -> None:
+        records = [
+            EntryRecord(host.table.name, 'x:1', place, 'one')
+            for host, place in zip(self.hosts, PLACES, strict=True)
+        ]
+        news = []
+        for shard, searcher in zip(SHARDS, self.searchers, strict=True):
+            record = make_record(f'i-{shard}', shard, place='beside')
+            record.address = searcher.address
+            news.append(record)
+        for host in self.hosts:
+            for message in (
+                DeploymentFed(1, 1, b'', {}),
+                HostsFed({'c': 'near'}, records, False),
+                SearcherNews(news),
+            ):
+                message.sender = 'c'
+                host.link.submit(message)
+
+    def read(self, content: bytes) -> Document:
+        route = make_route(
+            shards=SHARDS,
+            top=2,
+            min_share=0.6,
+            objective=0.3,
+        )
+        services = {name: Service(name, 30, 3, 0) for name in SHARDS}
+        return Document(1, (route,), services, LIMITS)
+
+    @in_loop
+    async def test_merged_by_the_relay(self) -> None:
+        """The second host asks the searchers; the caller gets one answer."""
+        async with AsyncExitStack() as stack:
+            await self.async_open(stack, async_answer)
+            reply = await async_call(self.address, request())
+            opened = [host.pool.opened for host in self.hosts]
+        self.assertThat(reply.endswith(b'3' * 16 + b'2' * 16), Is(True))
+        self.assertThat(
+            reply,
+            Contains(b'x-signatures: sig-1, sig-2, sig-3'),
+        )
+        self.assertThat(opened, Equals([0, 3]))
+
+    @in_loop
+    async def test_late_part_is_left_out(self) -> None:
+        """A searcher that hangs holds up no part of the others."""
+        script = partial(async_hang, {'i-s3'})
+        async with AsyncExitStack() as stack:
+            await self.async_open(stack, script)
+            reply = await async_call(self.address, request())
+        self.assertThat(reply, Contains(b'x-signatures: sig-1, sig-2\r\n'))
+        self.assertThat(reply, Contains(b'x-missing: 1'))
+
+    @in_loop
+    async def test_abandoned(self) -> None:
+        """Work for a caller that left ends at the relay as well."""
+        script = partial(async_hang, {'i-s1', 'i-s2', 'i-s3'})
+        async with AsyncExitStack() as stack:
+            await self.async_open(stack, script)
+            _, writer = await asyncio.open_connection(*self.address)
+            writer.write(request())
+            while not all(one.visits for one in self.searchers):
+                await asyncio.sleep(0.001)
+            loop = asyncio.get_running_loop()
+            started = loop.time()
+            writer.close()
+            while not all(one.closed for one in self.searchers):
+                await asyncio.sleep(0.001)
+            elapsed = loop.time() - started
+            is_busy = self.hosts[1].relays.jobs.is_busy
+        self.assertThat(elapsed, LessThan(0.5))
+        self.assertThat(is_busy, Is(False))
+
+    @in_loop
+    async def test_lost_relay(self) -> None:
+        """The loss of the relay loses no request: parts go directly."""
+        async with AsyncExitStack() as stack:
+            await self.async_open(stack, async_answer)
+            self.hosts[1].link.peers.drop(self.hosts[0].table.name, 'a test')
+            reply = await async_call(self.address, request())
+            opened = self.hosts[0].pool.opened
+        self.assertThat(reply, Contains(b'x-missing: 0'))
+        self.assertThat(opened, Equals(3))
