--- a/snipejunction/components/deployment/machine.py
+++ b/snipejunction/components/deployment/machine.py
@@ -20,6 +20,7 @@
     ReadAnswered,
     ReadSettled,
 )
+from snipejunction.components.deployment.packing import unpack_document
 from snipejunction.components.deployment.systems.feeding import feed_all
 from snipejunction.components.deployment.systems.reading import answer_reads
 from snipejunction.components.deployment.tables import Deployment
@@ -101,7 +102,8 @@
         if origin:
             yield SendPeer(origin, ReadSettled(call_id, state.index))
         else:
-            yield ReadAnswered(call_id, state.version, state.content)
+            content = unpack_document(state.content)
+            yield ReadAnswered(call_id, state.version, content)
 
     def on_leadership(
         self,
--- a/snipejunction/components/deployment/messages.py
+++ b/snipejunction/components/deployment/messages.py
@@ -15,7 +15,7 @@
     __slots__ = ('content', 'version')
 
     def __init__(self, version: int, content: bytes) -> None:
-        """Create an entry; ``content`` is the document as it was sent."""
+        """Create an entry; ``content`` is the packed document."""
         self.version = version
         self.content = content
 
@@ -229,7 +229,10 @@
 
 
 class OrderAsked(CallMessage):
-    """An operator's order; ``OrderAnswered`` answers it."""
+    """An operator's order; ``OrderAnswered`` answers it.
+
+    A document comes as it was sent and is packed on its way.
+    """
 
     __slots__ = ('entry',)
 
--- a/snipejunction/components/deployment/systems/orders.py
+++ b/snipejunction/components/deployment/systems/orders.py
@@ -28,6 +28,7 @@
     ReadAsked,
     ReadForwarded,
 )
+from snipejunction.components.deployment.packing import pack_document
 from snipejunction.components.deployment.tables import PendingOrder
 from snipejunction.const import GROUP_DEPLOYMENT
 from snipejunction.handling import handle
@@ -41,7 +42,7 @@
     node: Node,
     now: float,
 ) -> Iterator[Command]:
-    entry = message.entry
+    entry = _packed(message.entry)
     replica = _replica(node)
     if _is_held(entry, node):
         # Committed state already holds this version or a higher one.
@@ -149,6 +150,12 @@
     yield SendPeer(leader, message)
 
 
+def _packed(entry: DocumentEntry | DrainEntry) -> DocumentEntry | DrainEntry:
+    if not isinstance(entry, DocumentEntry):
+        return entry
+    return DocumentEntry(entry.version, pack_document(entry.content))
+
+
 def _is_held(entry: DocumentEntry | DrainEntry, node: Node) -> bool:
     if not isinstance(entry, DocumentEntry):
         return False
--- a/snipejunction/components/deployment/systems/reading.py
+++ b/snipejunction/components/deployment/systems/reading.py
@@ -10,6 +10,7 @@
     ReadAnswered,
     ReadSettled,
 )
+from snipejunction.components.deployment.packing import unpack_document
 from snipejunction.handling import handle
 from snipejunction.node import Node
 
@@ -36,4 +37,5 @@
     for call_id, index in list(table.settled_reads.items()):
         if index <= state.index:
             table.settled_reads.pop(call_id)
-            yield ReadAnswered(call_id, state.version, state.content)
+            content = unpack_document(state.content)
+            yield ReadAnswered(call_id, state.version, content)
--- a/snipejunction/components/gateway/learning.py
+++ b/snipejunction/components/gateway/learning.py
@@ -10,6 +10,7 @@
     DeploymentFed,
     HostsFed,
 )
+from snipejunction.components.deployment.packing import unpack_document
 from snipejunction.components.gateway.const import (
     EVENT_DOCUMENT_TAKEN,
     EVENT_DOCUMENT_UNREADABLE,
@@ -46,7 +47,7 @@
     held = 0 if table.document is None else table.document.version
     if message.version > held:
         try:
-            document = read(message.content)
+            document = read(unpack_document(message.content))
         except SettingsError as error:
             yield LogEvent(
                 EVENT_DOCUMENT_UNREADABLE,
--- a/tests/components/deployment/test_orders.py
+++ b/tests/components/deployment/test_orders.py
@@ -12,6 +12,7 @@
     ReadAnswered,
     ReadSettled,
 )
+from snipejunction.components.deployment.packing import unpack_document
 from snipejunction.helpers.wire import encode
 from tests.components.deployment.harness import SEEDS, ControlCluster
 
@@ -25,7 +26,9 @@
 
     def states(self) -> set[tuple[int, bytes]]:
         states = [host.node.deployment.state for host in self.cluster.up]
-        return {(state.version, state.content) for state in states}
+        return {
+            (state.version, unpack_document(state.content)) for state in states
+        }
 
     def test_accepted_everywhere(self) -> None:
         """An order at any host is in force at all."""
@@ -49,7 +52,10 @@
             cluster.put('h1', 9, b'one')
             cluster.put('h2', 9, b'two')
             cluster.run(2)
-            held = {host.node.deployment.state.content for host in cluster.up}
+            held = {
+                unpack_document(host.node.deployment.state.content)
+                for host in cluster.up
+            }
             self.assertThat(len(held), Equals(1))
             self.assertThat(held <= {b'one', b'two'}, Is(True))
 
