--- a/snipejunction/edge/gateway/searcher_connection.py
+++ b/snipejunction/edge/gateway/searcher_connection.py
@@ -51,6 +51,11 @@
         self._may_reuse = True
         self._reset_reply()
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether requests can be sent."""
+        return self._transport is not None
+
     @property
     def is_busy(self) -> bool:
         """Return whether an answer is awaited."""
--- a/snipejunction/edge/gateway/searcher_pool.py
+++ b/snipejunction/edge/gateway/searcher_pool.py
@@ -138,9 +138,21 @@
             detail = f'connect: {error.strerror}'
             sending.finish(Outcome(Fate.REFUSED, detail=detail))
         else:
-            self._by_searcher.setdefault(key, set()).add(connection)
-            if not sending.is_done:
-                self._send_on(connection, sending)
+            self._take_opened(connection, key, sending)
+
+    def _take_opened(
+        self,
+        connection: SearcherConnection,
+        key: tuple[str, int],
+        sending: Sending,
+    ) -> None:
+        if not connection.is_open:
+            # A searcher with too many connections resets further ones.
+            sending.finish(Outcome(Fate.REFUSED, detail='closed at once'))
+            return
+        self._by_searcher.setdefault(key, set()).add(connection)
+        if not sending.is_done:
+            self._send_on(connection, sending)
 
     def _make(self, key: tuple[str, int]) -> SearcherConnection:
         forget: Callable[[SearcherConnection], None] = partial(
--- a/tests/edge/gateway/test_searcher_pool.py
+++ b/tests/edge/gateway/test_searcher_pool.py
@@ -273,3 +273,39 @@
             caller.last.cancel('not needed')
             self.assertThat((await future).fate, Is(Fate.UNSENT))
             self.assertThat(self.searcher.visits, Equals([]))
+
+
+class ResetLoop:
+    """Connects to a searcher that resets the connection at once."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+        self.time = loop.time
+        self.create_task = loop.create_task
+
+    async def create_connection(self, factory, ip: str, port: int):
+        """Return a connection that was lost before anybody used it."""
+        connection = factory()
+        connection.connection_made(FakeTransport())
+        connection.connection_lost(ConnectionResetError())
+        return None, connection
+
+
+class FakeTransport(asyncio.Transport):
+    """A transport that takes everything and sends nothing."""
+
+
+class ResetAtOnceTest(TestCase):
+    """A searcher that has too many connections."""
+
+    @in_loop
+    async def test_refused(self) -> None:
+        """Nothing was sent, and the request does not hang."""
+        pool = SearcherPool(DIALECT, ResetLoop(asyncio.get_running_loop()))
+        outcomes: list[Outcome] = []
+        upstream = Upstream(make_record('a'), 'c', 0)
+        pool.send(upstream, Sending(b'', b'r', outcomes.append))
+        while not outcomes:
+            await asyncio.sleep(0)
+        self.assertThat(outcomes[0].fate, Is(Fate.REFUSED))
+        self.assertThat(pool.open_connections, Equals(0))
--- a/tests/processes/platform_harness.py
+++ b/tests/processes/platform_harness.py
@@ -7,7 +7,7 @@
 import os
 import socket
 import sys
-from asyncio.subprocess import DEVNULL, Process
+from asyncio.subprocess import Process
 from contextlib import AsyncExitStack
 from pathlib import Path
 from types import MappingProxyType
@@ -74,16 +74,17 @@
         metrics = self.port + METRICS_OFFSETS[role]
         environment = dict(os.environ)
         environment[names.SETTINGS_VARIABLE] = str(settings)
-        self.processes[role] = await asyncio.create_subprocess_exec(
-            sys.executable,
-            '-m',
-            f'snipejunction.platform.{role}',
-            '--metrics-port',
-            str(metrics),
-            cwd=ROOT,
-            env=environment,
-            stdout=DEVNULL,
-        )
+        with (self.folder / f'{role}.log').open('ab') as log:
+            self.processes[role] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                f'snipejunction.platform.{role}',
+                '--metrics-port',
+                str(metrics),
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+            )
 
     async def async_kill(self) -> None:
         """Kill what runs on the machine."""
