Send hedges by way of a relay, too

Hedges began at 32 ms as they should; to another region they then opened a connection (a round trip of 16 ms and 6 ms at the searcher) before the request, so that answers came at 80 ms, after the 74 ms at which the partial answer leaves. An entry host asks each far searcher once in 20 s, so its connections there are never warm. Ruled out: budget (1 % of hedges were refused), late detection (first hedge at 32 ms in the median). Change: all attempts for another data centre go by way of a relay, single ones as well: it has connections to its searchers open. A single relayed reply is like a direct one and never takes the place of merged records. A relay sets no timer while it has nothing to tell.

--- a/snipejunction/components/gateway/const.py
+++ b/snipejunction/components/gateway/const.py
@@ -77,9 +77,6 @@
 # Addresses in one answer to a caller, which reads no more.
 MAX_ADDRESSES: Final = 64
 
-# Parts of one data centre from which on a host there merges them: a single
-# one is as small on its own.
-MIN_RELAYED_PARTS: Final = 2
 # What merging at another host adds to a part, in seconds: a round trip
 # between data centres, or between regions, and turns of two busy loops.
 RELAY_SECONDS: Final = 0.01
--- a/snipejunction/components/gateway/messages.py
+++ b/snipejunction/components/gateway/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from snipejunction.components.gateway.replies import SUCCESSES
 from snipejunction.helpers.records import Record
 from snipejunction.helpers.wire import wire
 from snipejunction.messages import PeerMessage
@@ -91,6 +92,11 @@
         self.seconds = seconds
         self.detail = detail
 
+    @property
+    def is_good(self) -> bool:
+        """Return whether records of the part are in the answer."""
+        return self.status in SUCCESSES and bool(self.signature)
+
 
 @wire(156)
 class PartsAnswered(PartsMessage):
--- a/snipejunction/components/gateway/relayed.py
+++ b/snipejunction/components/gateway/relayed.py
@@ -110,24 +110,27 @@
         outcome: Outcome,
         now: float,
     ) -> Iterator[Command]:
-        """Take what became of a part; tell all of them once all are there."""
+        """Take what became of a part; tell all of them once all are there.
+
+        Parts that come after the first answer wait a little for others.
+        """
         upstream = self._open.pop(position)
         upstream.in_flight -= 1
         upstream.note_outcome(outcome, now)
         self._report(position, outcome, now - self._started)
         if not self._open:
             yield from self._tell(now)
+        elif self._has_told:
+            self.next_due = min(self.next_due, now + MERGE_AGAIN_SECONDS)
 
     def advance(self, now: float) -> Iterator[Command]:
-        """Tell what is there when it is time, and look again soon.
+        """Tell what is there when it is time.
 
         The first answer goes out without any part, too: the asking host
         then knows that the searchers are late and not this host.
         """
-        if self._reports or not self._has_told:
+        if now >= self.next_due:
             yield from self._tell(now)
-        else:
-            self.next_due = now + MERGE_AGAIN_SECONDS
 
     def _may_send(self, upstream: Upstream) -> bool:
         record = upstream.record
@@ -159,5 +162,5 @@
         self._reports = []
         self._bodies = []
         self._has_told = True
-        self.next_due = now + MERGE_AGAIN_SECONDS if self._open else NEVER
+        self.next_due = NEVER
         yield SendPeer(self._asked.sender, answer)
--- a/snipejunction/components/gateway/relaying.py
+++ b/snipejunction/components/gateway/relaying.py
@@ -1,6 +1,7 @@
 """Which entry host gets the parts of another data centre.
 
-A host there merges them, so that one small answer travels in place of many.
+A host there merges them, so that one small answer travels in place of many,
+and it has connections to its searchers open, which save a round trip.
 """
 
 from __future__ import annotations
@@ -9,7 +10,6 @@
 
 from snipejunction.components.gateway.const import (
     FORGET_SECONDS,
-    MIN_RELAYED_PARTS,
     RELAY_AWAY_SECONDS,
     RELAY_SECONDS,
 )
@@ -50,10 +50,6 @@
     for attempt in attempts:
         place = attempt.upstream.record.data_centre
         groups.setdefault(relays.get(place, ''), []).append(attempt)
-    direct = groups.setdefault('', [])
-    for relay, relayed in list(groups.items()):
-        if relay and len(relayed) < MIN_RELAYED_PARTS:
-            direct.extend(groups.pop(relay))
     return groups
 
 
--- a/snipejunction/components/gateway/run.py
+++ b/snipejunction/components/gateway/run.py
@@ -236,7 +236,7 @@
         attempts: list[Attempt],
         now: float,
     ) -> Iterator[Command]:
-        """Send first attempts, those for another data centre together."""
+        """Send attempts, those for another data centre by way of a relay."""
         groups = {'': attempts}
         if self._route.shards:
             groups = group_by_relay(attempts, self._table, now)
@@ -259,8 +259,10 @@
     ) -> Command:
         for attempt in attempts:
             attempt.relay = relay
-        # What the relay has by then is here before hedges begin.
-        wait = min(self._hedge_wait(), self._answer_by - now)
+        wait = self._answer_by - now
+        if not attempts[0].is_repeat:
+            # What the relay has by then is here before hedges begin.
+            wait = min(wait, self._hedge_wait())
         merge_after = wait - relay_delay(relay, self._table)
         return SendParts(
             relay,
@@ -347,7 +349,7 @@
             news_age=round(now - upstream.learned_at, 1),
             left_ms=round((self.deadline - now) * _MILLISECONDS),
         )
-        yield SendAttempt(self._attempt(part, upstream, now), self.deadline)
+        yield from self._send_all([self._attempt(part, upstream, now)], now)
 
     def _suspect(self, late: Attempt, now: float) -> Iterator[Command]:
         """Hold an attempt that is late against its searcher or relay."""
--- a/snipejunction/edge/gateway/forwarding.py
+++ b/snipejunction/edge/gateway/forwarding.py
@@ -116,14 +116,19 @@
     def _execute(self, commands: Iterable[Command]) -> None:
         for command in commands:
             if isinstance(command, SendAttempt):
-                if command.attempt.is_repeat:
-                    self._hooks.metrics.note_repeat()
+                self._count_repeats(command.attempt)
                 self._send(command)
             elif isinstance(command, SendParts):
+                self._count_repeats(*command.attempts)
                 self._ask(command)
             elif isinstance(command, LogEvent):
                 self._hooks.log(command)
 
+    def _count_repeats(self, *attempts: Attempt) -> None:
+        for attempt in attempts:
+            if attempt.is_repeat:
+                self._hooks.metrics.note_repeat()
+
     def _send(self, command: SendAttempt) -> None:
         attempt = command.attempt
         head = complete_head(
--- a/snipejunction/edge/gateway/relay_calls.py
+++ b/snipejunction/edge/gateway/relay_calls.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import TypeAlias
 
 from snipejunction.components.gateway.messages import (
@@ -40,16 +40,10 @@
     def take(self, message: PartsAnswered) -> None:
         """Pass on what the relay tells of parts that are still open."""
         outcomes: MergedOutcomes = []
-        body = message.records
-        for report in message.reports:
+        for report, outcome in _outcomes_of(message):
             attempt = self.open_attempts.pop(report.position, None)
-            if attempt is None:
-                continue
-            outcome = _outcome_of(report, body)
-            if outcome.good_reply is not None:
-                # The records of all parts are in the first reply.
-                body = b''
-            outcomes.append((attempt, outcome))
+            if attempt is not None:
+                outcomes.append((attempt, outcome))
         self._on_merged(self.relay, outcomes)
 
     def fail(self, detail: str) -> None:
@@ -123,15 +117,23 @@
                 call.fail('the stream to the relay is lost')
 
 
-def _outcome_of(report: PartReport, body: bytes) -> Outcome:
-    fate = Fate(report.fate)
-    reply = None
-    if report.status:
-        reply = Reply(
-            report.status,
-            [],
-            body,
-            report.signature,
-            is_merged=True,
+def _outcomes_of(
+    message: PartsAnswered,
+) -> Iterator[tuple[PartReport, Outcome]]:
+    """Return what is told; the records are in the first good reply."""
+    good = [one for one in message.reports if one.is_good]
+    for report in message.reports:
+        reply = None
+        if report.status:
+            is_first = bool(good) and report is good[0]
+            reply = Reply(
+                report.status,
+                [],
+                message.records if is_first else b'',
+                report.signature,
+                is_merged=len(good) > 1,
+            )
+        yield (
+            report,
+            Outcome(Fate(report.fate), reply, report.detail, report.seconds),
         )
-    return Outcome(fate, reply, report.detail, report.seconds)
--- a/snipejunction/edge/gateway/relay_jobs.py
+++ b/snipejunction/edge/gateway/relay_jobs.py
@@ -21,6 +21,7 @@
 from snipejunction.edge.gateway.headers import complete_head
 from snipejunction.edge.gateway.searcher_pool import Sending
 from snipejunction.edge.peers import PeerTable
+from snipejunction.timers import NEVER
 
 # Calls of other hosts that are open at a time; what comes beyond is left to
 # the repeats of the asking host.
@@ -80,17 +81,18 @@
                 self._jobs.peers.send(command.host, command.message)
             elif isinstance(command, LogEvent):
                 self._hooks.log(command)
+        self._arm(self._parts.next_due)
         if self._parts.is_done:
-            self._end()
-        elif self._timer is None:
-            due = self._parts.next_due
-            self._timer = self._loop.call_at(due, self._advance)
+            self._jobs.end(self._asked)
 
-    def _end(self) -> None:
+    def _arm(self, due: float) -> None:
         if self._timer is not None:
+            if self._timer.when() == due:
+                return
             self._timer.cancel()
             self._timer = None
-        self._jobs.end(self._asked)
+        if due < NEVER:
+            self._timer = self._loop.call_at(due, self._advance)
 
     def _send(self, command: SendRelayed) -> None:
         content = complete_head(
--- a/tests/components/gateway/test_relayed.py
+++ b/tests/components/gateway/test_relayed.py
@@ -16,6 +16,7 @@
 )
 from snipejunction.components.gateway.replies import Fate, Outcome, Reply
 from snipejunction.components.registration.const import LEAVING
+from snipejunction.timers import NEVER
 from tests.components.gateway.stage import (
     install,
     make_record,
@@ -92,6 +93,8 @@
         self.split(self.job.advance(10.06))
         self.assertThat(self.told, HasLength(1))
         self.assertThat(self.told[0].reports, Equals([]))
+        # Without news there is nothing to look at.
+        self.assertThat(self.job.next_due, Equals(NEVER))
 
     def test_bad_answers_have_no_records(self) -> None:
         """A failure, or an answer without proof, is told without records."""
--- a/tests/components/gateway/test_relaying.py
+++ b/tests/components/gateway/test_relaying.py
@@ -3,7 +3,13 @@
 from __future__ import annotations
 
 from testtools import TestCase
-from testtools.matchers import Equals, HasLength, Is, LessThan
+from testtools.matchers import (
+    Equals,
+    GreaterThan,
+    HasLength,
+    Is,
+    LessThan,
+)
 
 from snipejunction.components.deployment.messages import (
     EntryRecord,
@@ -26,6 +32,7 @@
 
 SHARDS = ('s0', 's1', 's2', 's3')
 RELAY = '10.0.0.9:7001'
+FAR = '10.0.0.8:7001'
 
 
 def merged(body: bytes, signature: str) -> Outcome:
@@ -88,10 +95,11 @@
         self.assertThat(self.direct, HasLength(4))
 
     def test_single_part(self) -> None:
-        """A single part goes directly."""
+        """A single part goes there, too: the relay has open connections."""
         self.route.shards = SHARDS[:2]
         self.begin()
-        self.assertThat(self.direct, HasLength(2))
+        self.assertThat(self.direct, HasLength(1))
+        self.assertThat(self.asked[0].attempts, HasLength(1))
 
     def test_wanted_streams(self) -> None:
         """One stream to each other data centre, for a named host only."""
@@ -161,6 +169,34 @@
         self.assertThat(answer.signatures, Equals(['p0', 'p1', 'p2']))
         self.assertThat(answer.missing, Equals(1))
 
+    def test_relayed_hedge(self) -> None:
+        """A hedge uses the relay of its data centre, and waits to the end."""
+        self.table.active[FAR] = EntryRecord(FAR, FAR, 'far', 'two')
+        self.table.relays.linked.add(FAR)
+        self.take_merged(merged(b'', 'p1'), merged(b'', 'p2'))
+        self.split(self.served.advance(10.1))
+        # Two parts are late: the one nearby and the last of the relay.
+        self.assertThat([one.relay for one in self.asked], Equals([FAR, FAR]))
+        self.assertThat(self.asked[0].merge_after, GreaterThan(0.05))
+
+    def test_single_after_merged(self) -> None:
+        """A late answer to a hedge does not take the place of merged ones."""
+        self.take_near()
+        self.split(self.served.advance(10.1))
+        hedge = next(one for one in self.direct if one.part.service == 's1')
+        self.take_merged(
+            merged(b'7' * 16, 'p1'),
+            merged(b'', 'p2'),
+            now=10.11,
+        )
+        reply = Reply(200, [], b'7' * 16, 'hedge')
+        pairs = [(hedge, Outcome(Fate.ANSWERED, reply, seconds=0.01))]
+        self.split(self.served.take_merged(FAR, pairs, 10.12))
+        self.split(self.served.advance(10.195))
+        answer = self.served.answer
+        self.assertThat(answer.signatures, Equals(['p0', 'p1', 'p2']))
+        self.assertThat(answer.body, Equals(b'7' * 16))
+
     def test_held_back(self) -> None:
         """A part that the relay did not send goes elsewhere, for free."""
         budget = self.table.budget('s1')
--- a/tests/soak/searchers.py
+++ b/tests/soak/searchers.py
@@ -111,6 +111,7 @@
         self._server: asyncio.Server | None = None
         self._beats: asyncio.Task | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._serving: set[asyncio.Task] = set()
 
     async def async_start(self) -> None:
         """Start as a new searcher at the address of the last one."""
@@ -137,6 +138,12 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    async def async_close(self) -> None:
+        """End for good; connections end after the present request."""
+        await self.async_crash()
+        self.proxy.close()
+        await asyncio.gather(*self._serving, return_exceptions=True)
+
     async def async_leave(self) -> None:
         """Say that it leaves, serve on for a while, and end."""
         self.state = 'draining'
@@ -182,6 +189,9 @@
 
     async def _async_serve(self, reader, writer) -> None:
         self._writers.add(writer)
+        task = asyncio.current_task()
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
         try:
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -106,8 +106,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for searcher in self.searchers:
-            await searcher.async_crash()
-            searcher.proxy.close()
+            await searcher.async_close()
         await self._stack.aclose()
 
     async def async_change(self) -> None:
