--- a/tests/processes/platform_harness.py
+++ b/tests/processes/platform_harness.py
@@ -67,8 +67,11 @@
         """Return an address of the machine by the place of its port."""
         return f'http://{self.ip}:{self.port + offset}{path}'
 
-    async def async_start(self, role: str) -> None:
-        """Start the process of a role as the deploy file does."""
+    async def async_start(self, role: str, output: int | None = None) -> None:
+        """Start the process of a role as the deploy file does.
+
+        Its lines go to a file, or to the descriptor ``output``.
+        """
         settings = self.folder / f'{role}.toml'
         settings.write_text(self._settings(role))
         metrics = self.port + METRICS_OFFSETS[role]
@@ -83,7 +86,7 @@
                 str(metrics),
                 cwd=ROOT,
                 env=environment,
-                stdout=log,
+                stdout=log if output is None else output,
             )
 
     async def async_kill(self) -> None:
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import signal
 import tempfile
 import tomllib
@@ -11,7 +12,7 @@
 from pathlib import Path
 
 from testtools import TestCase
-from testtools.matchers import Contains, Equals, Is
+from testtools.matchers import Contains, Equals, Is, LessThan
 
 from snipejunction.platform import names
 from tests.edge.gateway.scripted import ScriptedSearcher, Visit
@@ -31,6 +32,11 @@
 READY = 4
 ADDRESSES = 5
 METRICS = 7
+# Requests of the test of a paused reader, at the same time and in a row.
+BATCH = 20
+BATCHES = 60
+# What the log may cost a serving process, from the issue.
+MAX_GROWTH_MEGABYTES = 2
 PUT = '/Config.Put'
 GET = '/Config.Get'
 
@@ -68,6 +74,12 @@
     return json.dumps(table).encode()
 
 
+def resident_megabytes(pid: int) -> float:
+    """Return the resident memory of a process."""
+    pages = int(Path(f'/proc/{pid}/statm').read_text().split()[1])
+    return pages * os.sysconf('SC_PAGE_SIZE') / 2**20
+
+
 class PlatformProcessesTest(TestCase):
     """Three machines with both roles, and two searchers."""
 
@@ -204,6 +216,32 @@
             control.send_signal(signal.SIGTERM)
             self.assertThat(await control.wait(), Equals(0))
 
+    @in_loop
+    async def test_paused_reader_of_the_log(self) -> None:
+        """Lines that nobody reads cost no answer and no memory."""
+        async with AsyncExitStack() as stack:
+            site = await self.async_open(stack)
+            first = site.machines[0]
+            url = first.url(OPERATORS, PUT)
+            await site.async_until(200, 'POST', url, document(1))
+            reading, writing = os.pipe()
+            stack.callback(os.close, reading)
+            first.processes[ENTRY].kill()
+            await first.processes[ENTRY].wait()
+            first.is_first_start = False
+            await first.async_start(ENTRY, writing)
+            os.close(writing)
+            await self.async_ask(first)
+            before = resident_megabytes(first.processes[ENTRY].pid)
+            # Up to 40 lines a second of each kind, of 300 bytes, for some
+            # seconds: more than a pipe holds.
+            for _ in range(BATCHES):
+                await asyncio.gather(
+                    *(self.async_ask(first) for _ in range(BATCH)),
+                )
+            grown = resident_megabytes(first.processes[ENTRY].pid) - before
+            self.assertThat(grown, LessThan(MAX_GROWTH_MEGABYTES))
+
     @in_loop
     async def test_garbage_on_each_port(self) -> None:
         """Bytes that mean nothing end no process."""
