Stop telling of hosts that only a lost control host named

The list of the last control host that named entry hosts is kept when it is lost, so that callers find hosts during an outage. Since entry hosts ask one control host for news, it mostly is the last; its list then stayed beside those of the hosts that took its place, for ever. Ruled out: late news of control hosts (its stand-ins named the right hosts within a second). Change: such a list is kept under no sender, until another control host names entry hosts.

--- a/snipejunction/components/gateway/learning.py
+++ b/snipejunction/components/gateway/learning.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-from typing import TypeAlias
+from typing import Final, TypeAlias
 
 from snipejunction.commands import Command, LogEvent
 from snipejunction.components.deployment.messages import (
@@ -32,6 +32,8 @@
 )
 from snipejunction.errors import SettingsError
 
+# Stands for the last control host that named entry hosts, once it is lost.
+_NOBODY: Final = ''
 ReadDocument: TypeAlias = Callable[[bytes], Document]
 
 
@@ -108,18 +110,21 @@
     if message.controls and table.controls_at is None:
         table.controls_at = now
     table.hosts_by_sender[message.sender] = message
+    if message.entries:
+        table.hosts_by_sender.pop(_NOBODY, None)
     table.note_hosts()
 
 
 def lose_control(name: str, table: GatewayTable) -> None:
-    """Forget what a lost control host said, unless it was the last one."""
-    others = [
-        fed for sender, fed in table.hosts_by_sender.items() if sender != name
-    ]
-    # Another one that names no entry hosts is no replacement.
-    if any(fed.entries for fed in others):
-        table.hosts_by_sender.pop(name, None)
-        table.note_hosts()
+    """Forget what a lost control host said, unless it was the last one.
+
+    What the last one named holds on until another one names entry hosts.
+    """
+    lost = table.hosts_by_sender.pop(name, None)
+    others = table.hosts_by_sender.values()
+    if lost is not None and not any(fed.entries for fed in others):
+        table.hosts_by_sender[_NOBODY] = lost
+    table.note_hosts()
     for upstream in table.upstreams.values():
         upstream.forget_sender(name)
 
--- a/tests/components/gateway/test_addressing.py
+++ b/tests/components/gateway/test_addressing.py
@@ -58,6 +58,13 @@
         lose_control('c1', self.table)
         self.assertThat(self.found('near', 'one'), Equals(['a:80']))
 
+    def test_replaced_later(self) -> None:
+        """What nobody vouches for holds until another one names hosts."""
+        self.tell('c2')
+        lose_control('c1', self.table)
+        self.tell('c2', ('c', 'near', 'one'))
+        self.assertThat(self.found('near', 'one'), Equals(['c:80']))
+
     def test_last_control_host(self) -> None:
         """What the last control host said holds on without it."""
         lose_control('c1', self.table)
