Take the wait before a hedge and the event of a failed attempt out of the run

Change: hedge_wait stands in timing.py, failure_event in parts.py; the run calls them. Moved, not changed.

--- a/snipejunction/components/gateway/parts.py
+++ b/snipejunction/components/gateway/parts.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
-from snipejunction.commands import Command
+from typing import Final
+
+from snipejunction.commands import Command, LogEvent
+from snipejunction.components.gateway.const import EVENT_ATTEMPT_FAILED
 from snipejunction.components.gateway.replies import Outcome, Reply
 from snipejunction.components.gateway.upstreams import Upstream
 
+_MILLISECONDS: Final = 1000
+
 
 class Attempt:
     """One send of a part to a searcher; times are monotonic seconds.
@@ -116,3 +121,26 @@
         self.top = top
         self.deadline = deadline
         self.merge_after = merge_after
+
+
+def failure_event(
+    request_id: str,
+    attempt: Attempt,
+    outcome: Outcome,
+    left: float,
+    now: float,
+) -> LogEvent:
+    """Describe an attempt without a good reply; ``left`` is in seconds."""
+    upstream = attempt.upstream
+    return LogEvent(
+        EVENT_ATTEMPT_FAILED,
+        request=request_id,
+        searcher=upstream.searcher_id,
+        service=attempt.part.service,
+        address=upstream.record.address,
+        fate=outcome.fate.value,
+        detail=outcome.detail,
+        ms=round((now - attempt.sent_at) * _MILLISECONDS, 1),
+        news_age=round(now - upstream.learned_at, 1),
+        left_ms=round(left * _MILLISECONDS),
+    )
--- a/snipejunction/components/gateway/run.py
+++ b/snipejunction/components/gateway/run.py
@@ -15,17 +15,13 @@
 from snipejunction.components.gateway.const import (
     ANSWER_MARGIN_SECONDS,
     DEADLINE_MARGIN_SECONDS,
-    EVENT_ATTEMPT_FAILED,
     EVENT_NO_REPEAT,
     EVENT_RELAY_ASKED,
     EVENT_RELAY_SUSPECT,
     EVENT_REPEATED,
     EVENT_SEARCHER_SUSPECT,
-    HEDGE_MEDIANS,
-    MAX_HEDGE_SHARE,
     MAX_REFUSED_ARRIVALS,
     MAX_SENDS,
-    MIN_HEDGE_SECONDS,
     MIN_MERGE_SECONDS,
 )
 from snipejunction.components.gateway.document import Route
@@ -34,6 +30,7 @@
     Part,
     SendAttempt,
     SendParts,
+    failure_event,
 )
 from snipejunction.components.gateway.relaying import (
     group_by_relay,
@@ -45,6 +42,7 @@
 )
 from snipejunction.components.gateway.routing import pick_target
 from snipejunction.components.gateway.tables import GatewayTable
+from snipejunction.components.gateway.timing import hedge_wait
 from snipejunction.components.gateway.upstreams import Upstream
 from snipejunction.timers import NEVER
 
@@ -178,7 +176,8 @@
         self._learn(attempt, outcome, now)
         reply = outcome.good_reply
         if reply is None:
-            yield self._failure_event(attempt, outcome, now)
+            left = self.deadline - now
+            yield failure_event(self.request_id, attempt, outcome, left, now)
         if self.answer is not None:
             return
         if reply is not None:
@@ -194,26 +193,6 @@
                 yield from self._retry(part, outcome, now)
                 self._schedule(now)
 
-    def _failure_event(
-        self,
-        attempt: Attempt,
-        outcome: Outcome,
-        now: float,
-    ) -> LogEvent:
-        upstream = attempt.upstream
-        return LogEvent(
-            EVENT_ATTEMPT_FAILED,
-            request=self.request_id,
-            searcher=upstream.searcher_id,
-            service=attempt.part.service,
-            address=upstream.record.address,
-            fate=outcome.fate.value,
-            detail=outcome.detail,
-            ms=round((now - attempt.sent_at) * _MILLISECONDS, 1),
-            news_age=round(now - upstream.learned_at, 1),
-            left_ms=round((self.deadline - now) * _MILLISECONDS),
-        )
-
     def _choose(self, part: Part, now: float) -> Upstream | None:
         return choose_upstream(
             part.service,
@@ -289,10 +268,7 @@
         if not self._route.is_idempotent or self._route.attempts < 2:
             return NEVER
         times = self._table.times_of(self._route.name)
-        wait = self._route.objective * MAX_HEDGE_SHARE
-        if times.value is not None and times.median is not None:
-            wait = min(wait, times.value, times.median * HEDGE_MEDIANS)
-        return max(wait, MIN_HEDGE_SECONDS)
+        return hedge_wait(times, self._route.objective)
 
     def _hedge_due(self, part: Part, wait: float) -> float:
         if part.has_hedged or part.reply is not None or not part.is_waiting:
--- a/snipejunction/components/gateway/timing.py
+++ b/snipejunction/components/gateway/timing.py
@@ -5,6 +5,9 @@
 from collections import deque
 
 from snipejunction.components.gateway.const import (
+    HEDGE_MEDIANS,
+    MAX_HEDGE_SHARE,
+    MIN_HEDGE_SECONDS,
     QUANTILE_REFRESH,
     QUANTILE_SAMPLES,
 )
@@ -42,3 +45,14 @@
             ordered = sorted(self._samples)
             self._value = ordered[int(len(ordered) * self._quantile)]
             self._median = ordered[len(ordered) // 2]
+
+
+def hedge_wait(times: QuantileWindow, objective: float) -> float:
+    """Return how long an attempt may take before a hedge, in seconds.
+
+    ``times`` are those of the parts of a route, ``objective`` is its own.
+    """
+    wait = objective * MAX_HEDGE_SHARE
+    if times.value is not None and times.median is not None:
+        wait = min(wait, times.value, times.median * HEDGE_MEDIANS)
+    return max(wait, MIN_HEDGE_SECONDS)
