Bound all bytes of one answer; send no request on a connection that is being parsed

Cause: only the body of an answer was limited. A head or trailers without end, interim responses and answers to other requests were read until the deadline, and a second copy of an answer in the same read as the first was taken as the answer to a pipelined caller's next request, if it named no id. Lines that never end in a caller's request were read for the header timeout.

Change: all bytes since a request count towards one limit, a head has its own and all bodies of a host share one. A connection takes no request before the read that ended the last one is parsed. Callers' unfinished lines count.

--- a/snipejunction/edge/gateway/caller_connection.py
+++ b/snipejunction/edge/gateway/caller_connection.py
@@ -12,10 +12,15 @@
 import httptools
 
 from snipejunction.components.gateway.document import CallerLimits
-from snipejunction.edge.gateway.const import IDLE_GRACE_SECONDS
+from snipejunction.edge.gateway.const import (
+    IDLE_GRACE_SECONDS,
+    MAX_CHUNK_OVERHEAD,
+)
 from snipejunction.edge.gateway.headers import Headers, find_header
 
 _MAX_PIPELINED_REQUESTS: Final = 16
+# Most bytes that the event loop reads at once.
+_READ_BYTES: Final = 262144
 
 
 class CallerRequest:
@@ -105,6 +110,9 @@
         self._target = b''
         self._headers: Headers = []
         self._header_bytes = 0
+        self._has_head = False
+        # Bytes of the current message, including unfinished lines.
+        self._message_bytes = 0
         self._chunks: list[bytes] = []
         self._body_bytes = 0
         self._receiving_since: float | None = None
@@ -141,12 +149,14 @@
         self._last_active_at = self._loop.time()
         if self._receiving_since is None:
             self._receiving_since = self._last_active_at
+        self._message_bytes += len(received)
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserUpgrade:
             self._refuse(HTTPStatus.BAD_REQUEST)
         except httptools.HttpParserError:
             self._refuse(HTTPStatus.BAD_REQUEST)
+        self._check_size()
 
     def eof_received(self) -> bool:
         """Close the connection when the caller closes its sending side."""
@@ -190,6 +200,7 @@
         self._target = b''
         self._headers = []
         self._header_bytes = 0
+        self._has_head = False
         self._chunks = []
         self._body_bytes = 0
 
@@ -203,6 +214,10 @@
         self._headers.append((name.lower(), field))
         self._add_header_bytes(len(name) + len(field) + 4)
 
+    def on_headers_complete(self) -> None:
+        """Record that the head is complete."""
+        self._has_head = True
+
     def on_body(self, chunk: bytes) -> None:
         """Store a chunk of the body; refuse a body over the limit."""
         self._body_bytes += len(chunk)
@@ -216,6 +231,7 @@
         if self._is_refused:
             return
         self._receiving_since = None
+        self._message_bytes = 0
         request = CallerRequest(
             self,
             self._parser.get_method(),
@@ -260,6 +276,19 @@
         self._current = request
         self._server.dispatch(request)
 
+    def _check_size(self) -> None:
+        """Refuse a head, a body or trailers without end.
+
+        The parser reports lines and chunks only once they are complete.
+        """
+        limits = self._server.limits
+        head_bytes = limits.max_header_bytes + _READ_BYTES
+        body_bytes = limits.max_body_bytes * MAX_CHUNK_OVERHEAD
+        if not self._has_head and self._message_bytes > head_bytes:
+            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        elif self._message_bytes > head_bytes + body_bytes:
+            self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+
     def _add_header_bytes(self, size: int) -> None:
         self._header_bytes += size
         if self._header_bytes > self._server.limits.max_header_bytes:
--- a/snipejunction/edge/gateway/const.py
+++ b/snipejunction/edge/gateway/const.py
@@ -27,8 +27,16 @@
 IDLE_MARGIN_SECONDS: Final = 0.5
 # Idle timeout assumed for a searcher that sends no keep-alive header.
 DEFAULT_IDLE_SECONDS: Final = 4.0
-# Maximum body size of one searcher response.
+# Maximum number of bytes that a searcher may send in response to one request.
 MAX_REPLY_BYTES: Final = 8388608
+# Maximum number of bytes before the end of a response's head.
+MAX_REPLY_HEAD_BYTES: Final = 131072
+# Upper bound of the bodies that are being received from all searchers, in
+# bytes: many searchers at once may send without end.
+MAX_RECEIVED_BYTES: Final = 50331648
+# Bytes of a request's body on the wire for each byte of content: a chunk of one
+# byte takes six.
+MAX_CHUNK_OVERHEAD: Final = 6
 
 EVENT_SETTINGS_READ: Final = EventKind(
     820,
--- a/snipejunction/edge/gateway/searcher_connection.py
+++ b/snipejunction/edge/gateway/searcher_connection.py
@@ -12,7 +12,9 @@
 from snipejunction.edge.gateway.const import (
     DEFAULT_IDLE_SECONDS,
     IDLE_MARGIN_SECONDS,
+    MAX_RECEIVED_BYTES,
     MAX_REPLY_BYTES,
+    MAX_REPLY_HEAD_BYTES,
 )
 from snipejunction.edge.gateway.header_names import HeaderNames
 from snipejunction.edge.gateway.headers import (
@@ -29,16 +31,35 @@
 _TIMEOUT_FIELD: Final = b'timeout='
 
 
+class ReceivedBytes:
+    """Size of the bodies that all connections of a host are receiving."""
+
+    __slots__ = ('total',)
+
+    def __init__(self) -> None:
+        """Create an empty count."""
+        self.total = 0
+
+
 class SearcherConnection(asyncio.Protocol):
-    """Sends requests and matches answers to them by request id."""
+    """Sends requests and matches answers to them by request id.
+
+    A searcher may send bytes without end, in a head, a body, trailers, interim
+    responses or answers to other requests. All of them count towards
+    ``MAX_REPLY_BYTES`` for one request.
+    """
 
     def __init__(
         self,
         header_names: HeaderNames,
         loop: asyncio.AbstractEventLoop,
         on_lost: Callable[[SearcherConnection], None],
+        received_bytes: ReceivedBytes,
     ) -> None:
-        """Create the protocol of a connection that is being opened."""
+        """Create the protocol of a connection that is being opened.
+
+        ``received_bytes`` is shared by all connections of a host.
+        """
         self._header_names = header_names
         self._loop = loop
         self._on_lost = on_lost
@@ -49,6 +70,12 @@
         self._idle_seconds = DEFAULT_IDLE_SECONDS
         self._idle_since = loop.time()
         self._can_reuse = True
+        self._is_parsing = False
+        self._received_bytes = received_bytes
+        self._body = bytearray()
+        # Bytes since the request, and those of them before the current head.
+        self._reply_bytes = 0
+        self._bytes_before_head = 0
         self._reset_reply()
 
     @property
@@ -66,7 +93,9 @@
         transport = self._transport
         if transport is None or transport.is_closing() or self.is_busy:
             return False
-        if not self._can_reuse:
+        # The bytes behind an answer may be another one, so no request is sent
+        # before they are parsed.
+        if not self._can_reuse or self._is_parsing:
             return False
         return now < self._idle_since + self._idle_seconds
 
@@ -80,6 +109,7 @@
         assert self._transport is not None
         self._request_id = request_id
         self._on_outcome = on_outcome
+        self._reply_bytes = 0
         self._reset_reply()
         self._transport.write(content)
 
@@ -99,13 +129,17 @@
         if not self.is_busy:
             self.close('bytes without a request')
             return
+        self._reply_bytes += len(received)
+        self._is_parsing = True
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserError as error:
             self.close(f'malformed answer: {error}')
             return
-        if self._reply_bytes > MAX_REPLY_BYTES:
-            self.close('answer too large')
+        finally:
+            self._is_parsing = False
+        if self.is_busy:
+            self._check_size()
 
     def eof_received(self) -> bool:
         """Complete an answer whose body is delimited by the end of stream."""
@@ -117,6 +151,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Report a request in flight as lost."""
         self._transport = None
+        self._reset_reply()
         detail = 'connection closed' if error is None else str(error)
         self._report_outcome(Outcome(OutcomeKind.LOST, detail=detail))
         self._on_lost(self)
@@ -147,9 +182,9 @@
         self._has_head = True
 
     def on_body(self, chunk: bytes) -> None:
-        """Store a chunk of the body."""
-        self._chunks.append(chunk)
-        self._reply_bytes += len(chunk)
+        """Append a chunk to the body."""
+        self._body += chunk
+        self._received_bytes.total += len(chunk)
 
     def on_message_complete(self) -> None:
         """Complete the answer to the request in flight."""
@@ -172,7 +207,9 @@
         if transport is not None and transport.get_write_buffer_size():
             # The searcher answered before it read the whole request.
             self._can_reuse = False
-        self._report_outcome(self._build_outcome(status))
+        outcome = self._build_outcome(status)
+        self._reset_reply()
+        self._report_outcome(outcome)
 
     def _build_outcome(self, status: int) -> Outcome:
         if status == _MISDIRECTED:
@@ -181,8 +218,7 @@
             return Outcome(OutcomeKind.SHED, detail=f'status {status}')
         headers = end_to_end_headers(self._headers)
         signature = self._header(self._header_names.signature).decode('latin-1')
-        body = b''.join(self._chunks)
-        reply = Reply(status, headers, body, signature)
+        reply = Reply(status, headers, bytes(self._body), signature)
         return Outcome(OutcomeKind.ANSWERED, reply, f'status {status}')
 
     def _report_outcome(self, outcome: Outcome) -> None:
@@ -200,9 +236,19 @@
             if seconds_text.isdigit():
                 self._idle_seconds = int(seconds_text) - IDLE_MARGIN_SECONDS
 
+    def _check_size(self) -> None:
+        head_bytes = self._reply_bytes - self._bytes_before_head
+        if not self._has_head and head_bytes > MAX_REPLY_HEAD_BYTES:
+            self.close(f'head over {MAX_REPLY_HEAD_BYTES} bytes')
+        elif self._reply_bytes > MAX_REPLY_BYTES:
+            self.close(f'answer over {MAX_REPLY_BYTES} bytes')
+        elif self._body and self._received_bytes.total > MAX_RECEIVED_BYTES:
+            self.close(f'all answers over {MAX_RECEIVED_BYTES} bytes')
+
     def _reset_reply(self) -> None:
         self._headers: Headers = []
-        self._chunks: list[bytes] = []
-        self._reply_bytes = 0
+        self._received_bytes.total -= len(self._body)
+        self._body = bytearray()
+        self._bytes_before_head = self._reply_bytes
         self._has_head = False
         self._has_length = False
--- a/snipejunction/edge/gateway/searcher_pool.py
+++ b/snipejunction/edge/gateway/searcher_pool.py
@@ -13,6 +13,7 @@
 from snipejunction.edge.gateway.host_profile import parse_address
 from snipejunction.edge.gateway.searcher_connection import (
     OnOutcome,
+    ReceivedBytes,
     SearcherConnection,
 )
 
@@ -67,6 +68,7 @@
         self._loop = loop
         self._by_searcher: dict[tuple[str, int], set[SearcherConnection]] = {}
         self._connecting: set[asyncio.Task[None]] = set()
+        self._received_bytes = ReceivedBytes()
         self.opened_connections = 0
 
     @property
@@ -165,7 +167,9 @@
             self._remove,
             key,
         )
-        return SearcherConnection(self._header_names, self._loop, on_lost)
+        return SearcherConnection(
+            self._header_names, self._loop, on_lost, self._received_bytes
+        )
 
     def _remove(
         self,
--- a/tests/edge/gateway/test_gateway_host.py
+++ b/tests/edge/gateway/test_gateway_host.py
@@ -10,7 +10,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools import TestCase
-from testtools.matchers import Contains, Equals, Is, LessThan, StartsWith
+from testtools.matchers import (
+    Contains,
+    Equals,
+    Is,
+    LessThan,
+    MatchesAny,
+    StartsWith,
+)
 
 from snipejunction.components.deployment.messages import DeploymentUpdate
 from snipejunction.components.gateway.budget import RepeatLimits
@@ -63,6 +70,11 @@
     )
 
 
+# Bytes of a message that never ends, and the possible replies to it.
+ENDLESS = 8388608
+REFUSALS = (b'', b'HTTP/1.1 413', b'HTTP/1.1 431')
+
+
 async def async_unchanged(received: ReceivedRequest) -> None:
     """Read a body of 5 bytes and answer 201."""
     received.body = await received.reader.readexactly(5)
@@ -288,6 +300,25 @@
         reply = await self.async_reply(content)
         self.assertThat(reply, StartsWith(b'HTTP/1.1 413'))
 
+    @in_loop
+    async def test_endless_header_line(self) -> None:
+        """A header line without end is refused before the timeout.
+
+        The parser reports a line only once it is complete.
+        """
+        content = b''.join((b'GET /p/ HTTP/1.1\r\nX-Long: ', b'y' * ENDLESS))
+        reply = await self.async_reply(content)
+        # The reset after the refusal may overtake it.
+        self.assertThat(reply[:12], MatchesAny(*map(Equals, REFUSALS)))
+
+    @in_loop
+    async def test_endless_trailers(self) -> None:
+        """Trailers without end are refused before the timeout."""
+        head = request(extra=('Transfer-Encoding: chunked',), method='POST')
+        content = b''.join((head, b'0\r\nX-Long: ', b'y' * ENDLESS))
+        reply = await self.async_reply(content)
+        self.assertThat(reply[:12], MatchesAny(*map(Equals, REFUSALS)))
+
     @in_loop
     async def test_incomplete_request(self) -> None:
         """An incomplete request gets 408 after the header timeout."""
--- a/tests/edge/gateway/test_searcher_pool.py
+++ b/tests/edge/gateway/test_searcher_pool.py
@@ -6,10 +6,15 @@
 from contextlib import AsyncExitStack
 
 from testtools import TestCase
-from testtools.matchers import Equals, Is
+from testtools.matchers import Equals, Is, LessThan
 
 from snipejunction.components.gateway.replies import Outcome, OutcomeKind
 from snipejunction.components.gateway.upstreams import Upstream
+from snipejunction.edge.gateway.const import (
+    MAX_RECEIVED_BYTES,
+    MAX_REPLY_BYTES,
+    MAX_REPLY_HEAD_BYTES,
+)
 from snipejunction.edge.gateway.searcher_pool import (
     PendingRequest,
     SearcherPool,
@@ -24,6 +29,12 @@
 )
 
 
+# Size of one write of a searcher that sends without end, and of what the
+# buffers of both ends of a connection hold, in bytes.
+ENDLESS_WRITE = 65536
+SOCKET_BYTES = 16777216
+
+
 async def async_answer(received: ReceivedRequest) -> None:
     """Answer with status 200."""
     received.writer.write(answer(received.request_id))
@@ -108,6 +119,31 @@
     raise ConnectionResetError
 
 
+async def async_copy_without_id(received: ReceivedRequest) -> None:
+    """Answer ``r1`` twice in one write, the second time without an id."""
+    content = answer(received.request_id, received.request_id.encode())
+    if received.request_id == 'r1':
+        copy = content.replace(b'X-Id: r1\r\n', b'')
+        content = b''.join((content, copy))
+    received.writer.write(content)
+
+
+class EndlessScript:
+    """Sends a start and then the same bytes until the caller closes."""
+
+    def __init__(self, start: bytes, repeated: bytes) -> None:
+        self.start = start
+        self.repeated = repeated * (ENDLESS_WRITE // len(repeated))
+        self.sent = 0
+
+    async def __call__(self, received: ReceivedRequest) -> None:
+        received.writer.write(self.start)
+        while True:
+            received.writer.write(self.repeated)
+            await received.writer.drain()
+            self.sent += len(self.repeated)
+
+
 class Caller:
     """Sends requests to one searcher through a pool."""
 
@@ -280,6 +316,101 @@
             self.assertThat(self.searcher.received_requests, Equals([]))
 
 
+class EndlessAnswerTest(PoolCase):
+    """Searchers that send bytes without end until the caller closes."""
+
+    async def async_check_bound(
+        self, start: bytes, repeated: bytes, bound: int = MAX_REPLY_BYTES
+    ) -> None:
+        async with AsyncExitStack() as stack:
+            script = EndlessScript(start, repeated)
+            caller = await self.async_open(stack, script)
+            outcome = await caller.send()
+            self.assertThat(outcome.kind, Is(OutcomeKind.LOST))
+            while caller.pool.connection_count:
+                await asyncio.sleep(0)
+            # Socket buffers take some bytes that the host never reads.
+            self.assertThat(script.sent, LessThan(bound + SOCKET_BYTES))
+
+    @in_loop
+    async def test_head_line(self) -> None:
+        """One header line without end."""
+        start = b'HTTP/1.1 200 OK\r\nX-Long: '
+        await self.async_check_bound(start, b'x', MAX_REPLY_HEAD_BYTES)
+
+    @in_loop
+    async def test_head(self) -> None:
+        """Header lines without end."""
+        start = b'HTTP/1.1 200 OK\r\n'
+        await self.async_check_bound(start, b'X-A: b\r\n', MAX_REPLY_HEAD_BYTES)
+
+    @in_loop
+    async def test_body_without_length(self) -> None:
+        """A body that would end with the connection."""
+        await self.async_check_bound(b'HTTP/1.1 200 OK\r\n\r\n', b'x')
+
+    @in_loop
+    async def test_chunks(self) -> None:
+        """Chunks without end."""
+        start = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+        await self.async_check_bound(start, b'1\r\nx\r\n')
+
+    @in_loop
+    async def test_trailers(self) -> None:
+        """Trailers without end behind a complete body."""
+        start = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n'
+        await self.async_check_bound(start, b'X-A: b\r\n')
+
+    @in_loop
+    async def test_interim_responses(self) -> None:
+        """Interim responses without end."""
+        await self.async_check_bound(b'', b'HTTP/1.1 102 Processing\r\n\r\n')
+
+    @in_loop
+    async def test_answers_to_others(self) -> None:
+        """Answers to other requests without end."""
+        await self.async_check_bound(b'', answer('r0'))
+
+    @in_loop
+    async def test_many_searchers(self) -> None:
+        """The bodies of all connections together are bounded, too."""
+        async with AsyncExitStack() as stack:
+            script = EndlessScript(b'HTTP/1.1 200 OK\r\n\r\n', b'x')
+            caller = await self.async_open(stack, script)
+            count = 2 * MAX_RECEIVED_BYTES // MAX_REPLY_BYTES
+            futures = [caller.send(f'r{number}') for number in range(count)]
+            outcomes = await asyncio.gather(*futures)
+            kinds = {outcome.kind for outcome in outcomes}
+            self.assertThat(kinds, Equals({OutcomeKind.LOST}))
+            bound = MAX_RECEIVED_BYTES + count * SOCKET_BYTES
+            self.assertThat(script.sent, LessThan(2 * bound))
+
+
+class SameReadTest(PoolCase):
+    """A second copy of an answer in the same read as the first."""
+
+    @in_loop
+    async def test_next_request_at_once(self) -> None:
+        """The next request does not get the copy as its answer.
+
+        The next request of a pipelining caller is sent while the rest of the
+        read is still unparsed.
+        """
+        async with AsyncExitStack() as stack:
+            caller = await self.async_open(stack, async_copy_without_id)
+            seconds: list[asyncio.Future[Outcome]] = []
+            first = PendingRequest(
+                b'GET /p HTTP/1.1\r\nX-Id: r1\r\n\r\n',
+                b'r1',
+                lambda outcome: seconds.append(caller.send('r2')),
+            )
+            caller.pool.send(caller.upstream, first)
+            while not seconds:
+                await asyncio.sleep(0)
+            outcome = await seconds[0]
+            self.assertThat(outcome.reply.body, Equals(b'r2'))
+
+
 class ResetLoop:
     """Event loop whose connections are reset as soon as they open."""
 
