--- a/snipejunction/components/registration/systems/announcing.py
+++ b/snipejunction/components/registration/systems/announcing.py
@@ -203,9 +203,9 @@
     if not is_urgent:
         node.registration.unsent_to_entries[known.searcher_id] = None
         return
-    update = SearcherUpdate([known.to_record(_merged_state(known), now)])
-    for name in node.deployment.subscribers:
-        yield SendPeer(name, update)
+    yield from _send_to_entries(
+        [known.to_record(_merged_state(known), now)], node
+    )
 
 
 def _notify_controls(
@@ -218,9 +218,9 @@
     if not is_urgent:
         node.registration.unsent_to_controls[known.searcher_id] = None
         return
-    update = SearcherUpdate([known.to_record(_local_state(known, node), now)])
-    for name in node.consensus.other_names(GROUP_DEPLOYMENT, node.name):
-        yield SendPeer(name, update)
+    yield from _send_to_controls(
+        [known.to_record(_local_state(known, node), now)], node
+    )
 
 
 @on_tick
@@ -231,16 +231,28 @@
         known.to_record(_merged_state(known), now)
         for known in _pop_unsent(table.unsent_to_entries, table)
     ]
-    if merged:
-        update = SearcherUpdate(merged)
-        for name in node.deployment.subscribers:
-            yield SendPeer(name, update)
+    yield from _send_to_entries(merged, node)
     local = [
         known.to_record(_local_state(known, node), now)
         for known in _pop_unsent(table.unsent_to_controls, table)
     ]
-    if local:
-        update = SearcherUpdate(local)
+    yield from _send_to_controls(local, node)
+
+
+def _send_to_entries(
+    records: list[SearcherRecord], node: Node
+) -> Iterator[Command]:
+    if records:
+        update = SearcherUpdate(records)
+        for name in node.deployment.subscribers:
+            yield SendPeer(name, update)
+
+
+def _send_to_controls(
+    records: list[SearcherRecord], node: Node
+) -> Iterator[Command]:
+    if records:
+        update = SearcherUpdate(records)
         for name in node.consensus.other_names(GROUP_DEPLOYMENT, node.name):
             yield SendPeer(name, update)
 
