Create a histogram only for a new route; derive the urgency of an update

Cause: recording an answer made a histogram each time and threw it away, and two functions took an argument that follows from the searcher they are given. Change: a look-up first; the state is checked where it is needed. Behaviour is the same.

--- a/snipejunction/components/registration/systems/announcing.py
+++ b/snipejunction/components/registration/systems/announcing.py
@@ -131,16 +131,15 @@
         is_changed = known.apply_record(record, sender, now)
         if is_changed:
             yield _state_event(known)
-    is_urgent = known.record.state in _URGENT_STATES
     if is_changed:
-        yield from _notify_entries(known, node, now, is_urgent=is_urgent)
+        yield from _notify_entries(known, node, now)
     # A change of the local status matters to the other control hosts even if
     # the merged status stays the same.
     has_local_change = (
         is_changed or _is_silent_here(known, node) != was_silent_here
     )
     if sender == node.name and has_local_change:
-        yield from _notify_controls(known, node, now, is_urgent=is_urgent)
+        yield from _notify_controls(known, node, now)
 
 
 def _is_silent_here(known: KnownSearcher, node: Node) -> bool | None:
@@ -197,10 +196,8 @@
     known: KnownSearcher,
     node: Node,
     now: float,
-    *,
-    is_urgent: bool,
 ) -> Iterator[Command]:
-    if not is_urgent:
+    if known.record.state not in _URGENT_STATES:
         node.registration.unsent_to_entries[known.searcher_id] = None
         return
     yield from _send_to_entries(
@@ -212,10 +209,8 @@
     known: KnownSearcher,
     node: Node,
     now: float,
-    *,
-    is_urgent: bool,
 ) -> Iterator[Command]:
-    if not is_urgent:
+    if known.record.state not in _URGENT_STATES:
         node.registration.unsent_to_controls[known.searcher_id] = None
         return
     yield from _send_to_controls(
--- a/snipejunction/edge/gateway/service_metrics.py
+++ b/snipejunction/edge/gateway/service_metrics.py
@@ -34,7 +34,7 @@
 
     def __init__(self) -> None:
         """Create an empty histogram."""
-        self.counts = [0 for _ in (*_LATENCY_BUCKETS_SECONDS, None)]
+        self.counts = [0 for _ in range(len(_LATENCY_BUCKETS_SECONDS) + 1)]
         self.total_seconds = 0.0
 
     def observe(self, seconds: float) -> None:
@@ -69,7 +69,11 @@
         """Count an answer and observe its latency."""
         label = self._route_label(route)
         self._answers[label, str(status)] += 1
-        self._latencies.setdefault(label, LatencyHistogram()).observe(seconds)
+        latency = self._latencies.get(label)
+        if latency is None:
+            latency = LatencyHistogram()
+            self._latencies[label] = latency
+        latency.observe(seconds)
 
     def count_refusal(self, status: int) -> None:
         """Count a request that was refused without being forwarded."""
