Name stated limits in log events and metrics of entry hosts

Nothing told that a searcher states a limit: no host read the header. Entry hosts now read it from each answer, relays pass it on with the report of a part, events 954 to 956 name what changes, and two gauges count limited searchers and the attempts sent to them. No decision depends on it yet.

--- a/snipejunction/components/gateway/const.py
+++ b/snipejunction/components/gateway/const.py
@@ -172,3 +172,19 @@
     'warning',
     'request {request}: no response from relay {relay} within {ms} ms',
 )
+EVENT_LIMIT_STATED: Final = EventKind(
+    954,
+    'warning',
+    'searcher {searcher} of {service} states a limit of {limit} requests per '
+    'second for all hosts',
+)
+EVENT_LIMIT_LIFTED: Final = EventKind(
+    955,
+    _INFO,
+    'searcher {searcher} of {service} states no limit any more',
+)
+EVENT_LIMIT_UNREADABLE: Final = EventKind(
+    956,
+    'warning',
+    'searcher {searcher} of {service} states a limit that is no number',
+)
--- a/snipejunction/components/gateway/messages.py
+++ b/snipejunction/components/gateway/messages.py
@@ -63,7 +63,8 @@
 
     ``fate`` is the value of an ``OutcomeKind``. ``status`` and ``signature``
     are those of the searcher's answer, 0 and empty without one. ``seconds``
-    is how long the searcher took.
+    is how long the searcher took. ``stated_limit`` is the request rate that
+    it stated, None if it did not answer.
     """
 
     __slots__ = (
@@ -72,6 +73,7 @@
         'position',
         'seconds',
         'signature',
+        'stated_limit',
         'status',
     )
 
@@ -83,6 +85,7 @@
         signature: str,
         seconds: float,
         detail: str,
+        stated_limit: float | None = None,
     ) -> None:
         """Create a report."""
         self.position = position
@@ -91,6 +94,7 @@
         self.signature = signature
         self.seconds = seconds
         self.detail = detail
+        self.stated_limit = stated_limit
 
     @property
     def has_records(self) -> bool:
--- a/snipejunction/components/gateway/relayed.py
+++ b/snipejunction/components/gateway/relayed.py
@@ -17,6 +17,7 @@
     PartsResponse,
 )
 from snipejunction.components.gateway.replies import Outcome, OutcomeKind
+from snipejunction.components.gateway.stated_limits import record_limit
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.components.gateway.upstreams import Upstream
 from snipejunction.components.registration.const import READY, SILENT
@@ -120,6 +121,7 @@
         upstream = self._in_flight.pop(position)
         upstream.in_flight -= 1
         upstream.record_outcome(outcome, now)
+        yield from record_limit(upstream, outcome, now)
         self._add_report(position, outcome, now - self._started)
         if not self._in_flight:
             yield from self._send_response(now)
@@ -158,6 +160,7 @@
                 '' if reply is None else reply.signature,
                 seconds,
                 outcome.detail,
+                outcome.stated_limit,
             ),
         )
 
--- a/snipejunction/components/gateway/replies.py
+++ b/snipejunction/components/gateway/replies.py
@@ -73,9 +73,11 @@
     """How an attempt ended; ``reply`` is set if the searcher answered.
 
     ``seconds`` is the latency of the searcher if a relay measured it.
+    ``stated_limit`` is the request rate that the searcher stated with its
+    answer, None without an answer; see ``stated_limits``.
     """
 
-    __slots__ = ('detail', 'kind', 'reply', 'seconds')
+    __slots__ = ('detail', 'kind', 'reply', 'seconds', 'stated_limit')
 
     def __init__(
         self,
@@ -83,12 +85,14 @@
         reply: Reply | None = None,
         detail: str = '',
         seconds: float | None = None,
+        stated_limit: float | None = None,
     ) -> None:
         """Create an outcome; ``detail`` is for the log."""
         self.kind = kind
         self.reply = reply
         self.detail = detail
         self.seconds = seconds
+        self.stated_limit = stated_limit
 
     @property
     def valid_reply(self) -> Reply | None:
--- a/snipejunction/components/gateway/run.py
+++ b/snipejunction/components/gateway/run.py
@@ -41,6 +41,7 @@
     Outcome,
 )
 from snipejunction.components.gateway.routing import pick_target
+from snipejunction.components.gateway.stated_limits import record_limit
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.components.gateway.timing import hedge_delay
 from snipejunction.components.gateway.upstreams import Upstream
@@ -181,6 +182,7 @@
         if outcome.kind.may_have_arrived:
             part.possible_deliveries += 1
         self._record_outcome(attempt, outcome, now)
+        yield from record_limit(attempt.upstream, outcome, now)
         reply = outcome.valid_reply
         if reply is None:
             left = self.deadline - now
@@ -219,6 +221,8 @@
         upstream.in_flight += 1
         if now < upstream.cold_until:
             upstream.last_cold_send = now
+        if upstream.stated_limit < NEVER:
+            self._table.sharing.attempts += 1
         return attempt
 
     def _send_attempts(
--- a/snipejunction/components/gateway/tables.py
+++ b/snipejunction/components/gateway/tables.py
@@ -48,6 +48,19 @@
         self.known_at: float | None = None
 
 
+class LimitSharing:
+    """How hosts share the request rates that searchers state.
+
+    ``attempts`` counts the attempts sent to searchers that state a limit.
+    """
+
+    __slots__ = ('attempts',)
+
+    def __init__(self) -> None:
+        """Create a table without attempts."""
+        self.attempts = 0
+
+
 class GatewayTable:
     """State of an entry host; its systems read and change it.
 
@@ -57,6 +70,7 @@
     """
 
     __slots__ = (
+        '_sharing',
         'active',
         'budgets',
         'control_search',
@@ -109,12 +123,18 @@
         self.upstreams_by_service: dict[str, dict[str, Upstream]] = {}
         self.budgets: dict[str, RepeatBudget] = {}
         self.latencies: dict[str, QuantileWindow] = {}
+        self._sharing = LimitSharing()
 
     @property
     def region(self) -> str:
         """Return the region of this host."""
         return self.regions.get(self.data_centre, self.data_centre)
 
+    @property
+    def sharing(self) -> LimitSharing:
+        """Return what is known about the sharing of stated limits."""
+        return self._sharing
+
     @property
     def controls(self) -> dict[str, str]:
         """Return a map from all known control hosts to data centres."""
--- a/snipejunction/components/gateway/upstreams.py
+++ b/snipejunction/components/gateway/upstreams.py
@@ -14,6 +14,7 @@
 from snipejunction.components.registration.const import GONE
 from snipejunction.components.registration.messages import SearcherRecord
 from snipejunction.components.registration.searcher_status import SearcherStatus
+from snipejunction.timers import NEVER
 
 _HALF = 0.5
 
@@ -24,7 +25,8 @@
     ``slowness`` is the moving average of its latency relative to the median
     of the route, ``failure_rate`` that of its failures; both decay while
     nothing is sent. ``stalled_at`` is when an attempt became late, None once
-    the searcher answered again.
+    the searcher answered again. ``stated_limit`` is the request rate that it
+    states for all hosts together, ``NEVER`` without one.
     """
 
     __slots__ = (
@@ -36,6 +38,7 @@
         'last_cold_send',
         'refused_until',
         'stalled_at',
+        'stated_limit',
     )
 
     def __init__(self, record: SearcherRecord, sender: str, now: float) -> None:
@@ -45,6 +48,7 @@
         self.last_cold_send = 0.0
         self.stalled_at: float | None = None
         self.refused_until = 0.0
+        self.stated_limit = NEVER
         self._refusals = 0
         self._slowness = 1.0
         self._failure = 0.0
--- a/snipejunction/edge/gateway/gateway_host.py
+++ b/snipejunction/edge/gateway/gateway_host.py
@@ -32,6 +32,7 @@
 from snipejunction.edge.gateway.service_metrics import Gauges, ServiceMetrics
 from snipejunction.edge.keys import PeerKeys
 from snipejunction.errors import SettingsError, StorageError
+from snipejunction.timers import NEVER
 
 # Shares of the grace period of a stop. The host accepts requests for the
 # first share, since callers cache its address for some seconds; open requests
@@ -226,6 +227,14 @@
                 'Searchers that answer nothing at present.',
                 sum(upstream.is_stalled(now) for upstream in upstreams),
             ),
+            'searchers_limited': (
+                'Searchers that state a limit on their request rate.',
+                sum(upstream.stated_limit < NEVER for upstream in upstreams),
+            ),
+            'attempts_limited': (
+                'Attempts that were ever sent to a searcher with a limit.',
+                table.sharing.attempts,
+            ),
             'attempts_open': (
                 'Requests at searchers.',
                 sum(upstream.in_flight for upstream in upstreams),
--- a/snipejunction/edge/gateway/header_names.py
+++ b/snipejunction/edge/gateway/header_names.py
@@ -15,6 +15,8 @@
     ``not_run``: set by a searcher that did not run the request.
     ``signatures``, ``missing``: signatures and number of missing parts of a
     merged answer.
+    ``stated_limit``: requests per second that the searcher accepts from all
+    hosts together.
     """
 
     __slots__ = (
@@ -25,6 +27,7 @@
         'request_id',
         'signature',
         'signatures',
+        'stated_limit',
     )
 
     def __init__(
@@ -37,6 +40,7 @@
         not_run: bytes,
         signatures: bytes,
         missing: bytes,
+        stated_limit: bytes,
     ) -> None:
         """Create a set of header names."""
         self.request_id = request_id
@@ -46,3 +50,4 @@
         self.not_run = not_run
         self.signatures = signatures
         self.missing = missing
+        self.stated_limit = stated_limit
--- a/snipejunction/edge/gateway/relay_calls.py
+++ b/snipejunction/edge/gateway/relay_calls.py
@@ -139,6 +139,10 @@
         yield (
             report,
             Outcome(
-                OutcomeKind(report.fate), reply, report.detail, report.seconds
+                OutcomeKind(report.fate),
+                reply,
+                report.detail,
+                report.seconds,
+                report.stated_limit,
             ),
         )
--- a/snipejunction/edge/gateway/searcher_connection.py
+++ b/snipejunction/edge/gateway/searcher_connection.py
@@ -9,6 +9,7 @@
 import httptools
 
 from snipejunction.components.gateway.replies import Outcome, OutcomeKind, Reply
+from snipejunction.components.gateway.stated_limits import parse_limit
 from snipejunction.edge.gateway.const import (
     DEFAULT_IDLE_SECONDS,
     IDLE_MARGIN_SECONDS,
@@ -214,12 +215,24 @@
     def _build_outcome(self, status: int) -> Outcome:
         if status == _MISDIRECTED:
             return Outcome(OutcomeKind.MISDIRECTED, detail='another searcher')
+        stated_limit = parse_limit(
+            self._header(self._header_names.stated_limit)
+        )
         if self._header(self._header_names.not_run):
-            return Outcome(OutcomeKind.SHED, detail=f'status {status}')
+            return Outcome(
+                OutcomeKind.SHED,
+                detail=f'status {status}',
+                stated_limit=stated_limit,
+            )
         headers = end_to_end_headers(self._headers)
         signature = self._header(self._header_names.signature).decode('latin-1')
         reply = Reply(status, headers, bytes(self._body), signature)
-        return Outcome(OutcomeKind.ANSWERED, reply, f'status {status}')
+        return Outcome(
+            OutcomeKind.ANSWERED,
+            reply,
+            f'status {status}',
+            stated_limit=stated_limit,
+        )
 
     def _report_outcome(self, outcome: Outcome) -> None:
         on_outcome = self._on_outcome
--- a/snipejunction/platform/names.py
+++ b/snipejunction/platform/names.py
@@ -16,6 +16,7 @@
     not_run=b'x-snipejunction-not-executed',
     signatures=b'x-snipejunction-part-stamps',
     missing=b'x-snipejunction-missing-parts',
+    stated_limit=b'server-limit',
 )
 
 PATH_READY: Final = '/ready'
--- a/tests/edge/gateway/scripted.py
+++ b/tests/edge/gateway/scripted.py
@@ -18,6 +18,7 @@
     not_run=b'x-not-run',
     signatures=b'x-signatures',
     missing=b'x-missing',
+    stated_limit=b'x-limit',
 )
 TEST_SECONDS = 20
 Script: TypeAlias = Callable[['ReceivedRequest'], Coroutine[Any, Any, None]]
