--- a/tests/edge/gateway/scripted.py
+++ b/tests/edge/gateway/scripted.py
@@ -125,6 +125,8 @@
                 await self.script(received)
         except (asyncio.IncompleteReadError, ConnectionError):
             self.closed += 1
+        finally:
+            # A writer that outlives its event loop raises when it is deleted.
             writer.close()
 
 
