--- /dev/null
+++ b/tests/components/gateway/fleet.py
@@ -0,0 +1,169 @@
+"""Several entry hosts and searchers of one service on virtual time."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections import Counter
+from collections.abc import Callable, Iterable
+from random import Random
+
+from snipejunction.commands import Command, LogEvent
+from snipejunction.components.gateway.document import Route
+from snipejunction.components.gateway.parts import Attempt, SendAttempt
+from snipejunction.components.gateway.replies import Outcome, OutcomeKind, Reply
+from snipejunction.components.gateway.run import RequestRun
+from snipejunction.components.gateway.tables import GatewayTable
+from snipejunction.timers import NEVER
+from tests.components.gateway.stage import (
+    install_document,
+    make_record,
+    make_route,
+    make_table,
+    report_searchers,
+    set_entries,
+)
+
+ANSWER_SECONDS = 0.02
+
+
+class Fleet:
+    """Entry hosts that send callers' requests to searchers.
+
+    ``limits`` maps searchers to the rates that they state; ``arrivals`` holds
+    when each searcher received requests.
+    """
+
+    def __init__(
+        self,
+        host_count: int,
+        searchers: Iterable[str],
+        seed: int,
+        shards: tuple[str, ...] = (),
+    ) -> None:
+        self.now = 0.0
+        self.limits: dict[str, float] = {}
+        self.arrivals: dict[str, list[float]] = {}
+        self.statuses: Counter[int] = Counter()
+        self.refusal_seconds: list[float] = []
+        self.events: list[LogEvent] = []
+        self.route = make_route(shards=shards) if shards else make_route()
+        self._services = shards or ('s',)
+        self._searchers = tuple(searchers)
+        self._random = Random(seed)
+        self._numbers = itertools.count()
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self.names = [f'h{number}' for number in range(host_count)]
+        self.tables = {name: self.make_host(name) for name in self.names}
+
+    def make_host(self, name: str) -> GatewayTable:
+        """Return the tables of a host that has just started."""
+        table = make_table(name, started=self.now)
+        table.random.seed(self._random.random())
+        install_document(table, self.route, max_connections=300)
+        for service in self._services:
+            for searcher in self._searchers:
+                record = make_record(f'{service}-{searcher}', service)
+                report_searchers(table, record)
+        set_entries(table, self.names)
+        return table
+
+    def restart(self, name: str) -> None:
+        """Replace a host by one that knows nothing of before."""
+        self.tables[name] = self.make_host(name)
+
+    def send_requests(self, rate: float, seconds: float) -> None:
+        """Send requests at a rate for all hosts together, then run them."""
+        end = self.now + seconds
+        when = self.now
+        while when < end:
+            when += self._random.expovariate(rate)
+            self._schedule(when, self._send_request)
+        self._run_until(end)
+
+    def most_arrivals(
+        self, searcher: str, since: float, window: float = 4.0
+    ) -> int:
+        """Return the most requests that a searcher got in any window."""
+        times = [
+            when for when in self.arrivals.get(searcher, ()) if when >= since
+        ]
+        return max(
+            (
+                sum(start <= when < start + window for when in times)
+                for start in times
+            ),
+            default=0,
+        )
+
+    def _schedule(self, when: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._heap, (when, next(self._numbers), action))
+
+    def _run_until(self, end: float) -> None:
+        while self._heap and self._heap[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._heap)
+            action()
+        self.now = end
+
+    def _send_request(self) -> None:
+        table = self.tables[self._random.choice(self.names)]
+        number = next(self._numbers)
+        _FleetRequest(self, f'r{number}', self.route, table).start()
+
+    def deliver(self, request: _FleetRequest, attempt: Attempt) -> None:
+        """Let a searcher receive an attempt and answer it."""
+        searcher = attempt.upstream.searcher_id
+        self.arrivals.setdefault(searcher, []).append(self.now)
+        outcome = Outcome(
+            OutcomeKind.ANSWERED,
+            Reply(200, [], b'', f'sig-{searcher}'),
+            stated_limit=self.limits.get(searcher, NEVER),
+        )
+        self._schedule(
+            self.now + ANSWER_SECONDS,
+            lambda: request.finish_attempt(attempt, outcome),
+        )
+
+    def schedule_advance(self, when: float, action: Callable[[], None]) -> None:
+        """Run the next step of a request."""
+        self._schedule(when, action)
+
+
+class _FleetRequest:
+    """A request of a caller to one of the hosts."""
+
+    def __init__(
+        self, fleet: Fleet, name: str, route: Route, table: GatewayTable
+    ) -> None:
+        self._fleet = fleet
+        self._started = fleet.now
+        self._run = RequestRun(name, route, table, fleet.now + 1, fleet.now)
+        self._is_counted = False
+
+    def start(self) -> None:
+        self._execute(self._run.start(self._fleet.now))
+
+    def finish_attempt(self, attempt: Attempt, outcome: Outcome) -> None:
+        self._execute(
+            self._run.handle_outcome(attempt, outcome, self._fleet.now)
+        )
+
+    def _advance(self) -> None:
+        self._execute(self._run.advance(self._fleet.now))
+
+    def _execute(self, commands: Iterable[Command]) -> None:
+        for command in commands:
+            if isinstance(command, SendAttempt):
+                self._fleet.deliver(self, command.attempt)
+            elif isinstance(command, LogEvent):
+                self._fleet.events.append(command)
+        answer = self._run.answer
+        if answer is None:
+            due = max(self._run.next_due, self._fleet.now + 0.001)
+            self._fleet.schedule_advance(due, self._advance)
+        elif not self._is_counted:
+            self._is_counted = True
+            self._fleet.statuses[answer.status] += 1
+            if answer.status == 503:
+                elapsed = self._fleet.now - self._started
+                self._fleet.refusal_seconds.append(elapsed)
--- /dev/null
+++ b/tests/components/gateway/test_stated_limits.py
@@ -0,0 +1,49 @@
+"""Tests of the request rates that searchers state for all hosts."""
+
+from __future__ import annotations
+
+from testtools import TestCase
+from testtools.matchers import Equals, LessThan
+
+from tests.components.gateway.fleet import Fleet
+
+# Hosts may send this long above a limit that they have just learned of.
+LEARN_SECONDS = 4.0
+WINDOW_SECONDS = 4.0
+
+
+class UpstreamGetsMoreThanItStatesTest(TestCase):
+    """The sum over all hosts stays within the limit that a searcher states."""
+
+    def assert_within_limits(self, fleet: Fleet, since: float) -> None:
+        for searcher, limit in fleet.limits.items():
+            most = fleet.most_arrivals(searcher, since, WINDOW_SECONDS)
+            # Less than one request per window still allows one at a time.
+            allowed = max(limit * WINDOW_SECONDS, 1 + limit * 2)
+            self.assertThat(most, LessThan(allowed + 0.001))
+
+    def test_each_host_sends_the_whole_rate(self) -> None:
+        """Two of three searchers state half of what they get."""
+        for seed in range(3):
+            fleet = Fleet(9, ('a', 'b', 'c'), seed)
+            fleet.limits = {'s-a': 15.0, 's-b': 18.3}
+            fleet.send_requests(90, 30)
+            self.assert_within_limits(fleet, LEARN_SECONDS)
+            self.assertThat(fleet.statuses[503], Equals(0))
+
+    def test_limit_far_below_one_request_per_host(self) -> None:
+        """Many hosts together keep to a few requests per second or less."""
+        for limit in (0.2, 0.5, 1.0, 2.5, 6.0):
+            fleet = Fleet(18, ('a', 'b'), 1)
+            fleet.limits = {'s-a': limit, 's-b': limit}
+            fleet.send_requests(60, 40)
+            self.assert_within_limits(fleet, LEARN_SECONDS)
+
+    def test_all_searchers_of_all_shards_are_limited(self) -> None:
+        """Shards share their limits; hedges and repeats count, too."""
+        fleet = Fleet(9, ('a', 'b', 'c'), 4, ('s0', 's1', 's2', 's3'))
+        fleet.limits = {
+            f's{shard}-{name}': 10.0 for shard in range(4) for name in 'abc'
+        }
+        fleet.send_requests(60, 20)
+        self.assert_within_limits(fleet, LEARN_SECONDS)
