Share the request rate that a searcher states among all entry hosts

Cause: a bound on a searcher that all hosts share existed for connections, cold rate and repeats only, each as a fixed share known from the deployment document. A bound that the searcher states at run time had no owner, no share and no way to the hosts that had not asked that searcher.

Change: each advertised entry host has an equal share of the stated rate, from a bucket of one token that starts empty; rates and full buckets of all hosts add up to the limit in 4 s. Below one request per second for each host only the first hosts of a common order send; the next ones follow in turn if nobody confirms the limit. A host that is no longer advertised keeps its share for 15 s, on both sides. A limit, its confirmation and its end go through the control hosts to all entry hosts, also to one that just started; relays report it, and hold back parts of hosts that do not know it. Hedges do not use limited searchers. Without a share left, other searchers are asked; if too few are left, the request is refused at once as not run (event 957 and the cause name the limits).

--- a/snipejunction/components/deployment/systems/host_updates.py
+++ b/snipejunction/components/deployment/systems/host_updates.py
@@ -30,6 +30,7 @@
     send_searchers_to_control,
     send_searchers_to_entry,
 )
+from snipejunction.components.registration.systems.limits import send_limits
 from snipejunction.const import GROUP_DEPLOYMENT
 from snipejunction.handling import add_listener, handle, on_tick
 from snipejunction.messages import PeerConnected, PeerLost
@@ -143,6 +144,7 @@
     entry.heartbeat_at = now
     if message.wants_news and not was_subscribed:
         yield from send_searchers_to_entry(name, node, now)
+        yield from send_limits(name, node)
     if entry.last_hosts_update is None or message.wants_news != was_subscribed:
         updates = node.deployment.hosts_updates
         updates.replace(_make_hosts_update(node, now))
--- a/snipejunction/components/gateway/answers.py
+++ b/snipejunction/components/gateway/answers.py
@@ -17,11 +17,17 @@
 STATUS_GATEWAY_TIMEOUT: Final = 504
 
 
-def make_refusal(parts: int) -> Answer:
-    """Return the answer to a request that was sent to no searcher."""
+def make_refusal(parts: int, *, is_limited: bool) -> Answer:
+    """Return the answer to a request that was sent to no searcher.
+
+    ``is_limited`` means that limits stated by searchers are the reason.
+    """
+    cause = 'too few searchers can be asked'
+    if is_limited:
+        cause = 'searchers are at the limits that they state'
     return Answer(
         STATUS_UNAVAILABLE,
-        cause='too few searchers can be asked',
+        cause=cause,
         retry_after=RETRY_AFTER_SECONDS,
         parts=parts,
     )
--- a/snipejunction/components/gateway/choosing.py
+++ b/snipejunction/components/gateway/choosing.py
@@ -12,10 +12,12 @@
     REMOTE_LATENCY_FACTOR,
 )
 from snipejunction.components.gateway.document import Route
+from snipejunction.components.gateway.stated_limits import may_send
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.components.gateway.upstreams import Upstream
 from snipejunction.components.registration.const import READY, SILENT
 from snipejunction.helpers.rendezvous import choose
+from snipejunction.timers import NEVER
 
 # Health classes of searchers, the best first.
 _HEALTHY: Final = 0
@@ -31,12 +33,15 @@
     excluded_ids: Collection[str],
     table: GatewayTable,
     now: float,
+    *,
+    is_hedge: bool = False,
 ) -> Upstream | None:
     """Return the searcher that is expected to answer first, if any.
 
     Searchers in this data centre are preferred unless they are much slower,
     because traffic between data centres is expensive. ``excluded_ids`` are
-    ids of searchers.
+    ids of searchers. A hedge goes to none that states a limit: what it allows
+    is for parts without any attempt in flight.
     """
     typical_seconds = (
         table.latencies_of(route.name).median or route.objective / 4
@@ -47,6 +52,8 @@
     for upstream in table.upstreams_by_service.get(service, {}).values():
         if upstream.searcher_id in excluded_ids:
             continue
+        if is_hedge and upstream.stated_limit < NEVER:
+            continue
         if not _is_usable(upstream, route, limit, table, now):
             continue
         rank = (
@@ -77,7 +84,9 @@
     region = table.regions.get(record.data_centre, '')
     if route.regions and region not in route.regions:
         return False
-    return now >= upstream.cold_until or _may_send_cold(upstream, table, now)
+    if now < upstream.cold_until and not _may_send_cold(upstream, table, now):
+        return False
+    return may_send(upstream, table, now)
 
 
 def _may_send_cold(upstream: Upstream, table: GatewayTable, now: float) -> bool:
--- a/snipejunction/components/gateway/const.py
+++ b/snipejunction/components/gateway/const.py
@@ -83,6 +83,18 @@
 # Interval at which a host without usable control hosts tries two more of them,
 # in seconds: longer than a handshake with an idle control host.
 CONTROL_SEARCH_STEP_SECONDS: Final = 0.5
+# Window in which the requests of all hosts to a searcher stay within the limit
+# that it states, in seconds.
+LIMIT_WINDOW_SECONDS: Final = 4.0
+# Lower bound of the used share of a limit: below half a request per second one
+# token is more than the limit allows in a window.
+MIN_LIMIT_SHARE: Final = 0.5
+# Time without any confirmation of a limit after which further hosts send, in
+# seconds: several reports, which are sent with each heartbeat.
+UNCONFIRMED_LIMIT_SECONDS: Final = 5.0
+# How long a host that is no longer advertised keeps its share of limits, in
+# seconds: longer than a planned stop.
+DEPARTED_HOST_SECONDS: Final = 15.0
 # Addresses in one answer to a caller, which reads no more than these.
 MAX_ADDRESSES: Final = 64
 
@@ -176,15 +188,20 @@
     954,
     'warning',
     'searcher {searcher} of {service} states a limit of {limit} requests per '
-    'second for all hosts',
+    'second for all hosts, from {source}',
 )
 EVENT_LIMIT_LIFTED: Final = EventKind(
     955,
     _INFO,
-    'searcher {searcher} of {service} states no limit any more',
+    'searcher {searcher} of {service} states no limit any more, from {source}',
 )
 EVENT_LIMIT_UNREADABLE: Final = EventKind(
     956,
     'warning',
     'searcher {searcher} of {service} states a limit that is no number',
 )
+EVENT_LIMIT_REACHED: Final = EventKind(
+    957,
+    _INFO,
+    'request {request}: no share left of the limits of {service}: {limits}',
+)
--- a/snipejunction/components/gateway/document.py
+++ b/snipejunction/components/gateway/document.py
@@ -138,9 +138,12 @@
 
 
 class Document(Record):
-    """One version of the deployment document."""
+    """One version of the deployment document.
 
-    __slots__ = ('limits', 'routes', 'services', 'version')
+    ``shard_services`` holds the services that are shards of any route.
+    """
+
+    __slots__ = ('limits', 'routes', 'services', 'shard_services', 'version')
 
     def __init__(
         self,
@@ -153,4 +156,7 @@
         self.version = version
         self.routes = routes
         self.services = services
+        self.shard_services = frozenset(
+            service for route in routes for service in route.shards
+        )
         self.limits = limits
--- a/snipejunction/components/gateway/messages.py
+++ b/snipejunction/components/gateway/messages.py
@@ -21,6 +21,7 @@
     __slots__ = (
         'body',
         'head',
+        'limited',
         'merge_after',
         'request_id',
         'searchers',
@@ -38,6 +39,7 @@
         top: int,
         time_left: float,
         merge_after: float,
+        limited: list[int],
     ) -> None:
         """Create a call.
 
@@ -45,7 +47,8 @@
         ``searchers`` holds one searcher id for each part; ``top`` is the
         number of records that the merged answer requires; ``time_left`` is
         the time until the deadline and ``merge_after`` the time until the
-        parts received so far are sent, both in seconds.
+        parts received so far are sent, both in seconds. ``limited`` holds
+        the positions of searchers whose stated limits the sender observes.
         """
         self.call_id = call_id
         self.request_id = request_id
@@ -55,6 +58,7 @@
         self.top = top
         self.time_left = time_left
         self.merge_after = merge_after
+        self.limited = limited
 
 
 @wire(155)
--- a/snipejunction/components/gateway/parts.py
+++ b/snipejunction/components/gateway/parts.py
@@ -51,6 +51,7 @@
         'attempts',
         'failure',
         'has_hedged',
+        'is_limited',
         'possible_deliveries',
         'possible_runs',
         'reply',
@@ -64,6 +65,8 @@
         self.reply: Reply | None = None
         self.failure: Outcome | None = None
         self.has_hedged = False
+        # Whether stated limits kept the part from a searcher.
+        self.is_limited = False
         # Numbers of searchers that ran the part or may have, and that
         # received it or may have.
         self.possible_runs = 0
--- a/snipejunction/components/gateway/relayed.py
+++ b/snipejunction/components/gateway/relayed.py
@@ -87,11 +87,8 @@
         deadline = now + self._request.time_left
         for position, searcher_id in enumerate(self._request.searchers):
             upstream = self._table.upstreams.get(searcher_id)
-            if upstream is None or not self._is_available(upstream):
-                unsent = Outcome(
-                    OutcomeKind.UNSENT, detail='held back by the relay'
-                )
-                self._add_report(position, unsent, 0)
+            if upstream is None or not self._is_available(upstream, position):
+                self._add_report(position, _held_back(upstream), 0)
                 continue
             upstream.in_flight += 1
             self._in_flight[position] = upstream
@@ -121,7 +118,7 @@
         upstream = self._in_flight.pop(position)
         upstream.in_flight -= 1
         upstream.record_outcome(outcome, now)
-        yield from record_limit(upstream, outcome, now)
+        yield from record_limit(upstream, outcome, self._table, now)
         self._add_report(position, outcome, now - self._started)
         if not self._in_flight:
             yield from self._send_response(now)
@@ -137,7 +134,11 @@
         if now >= self.next_due:
             yield from self._send_response(now)
 
-    def _is_available(self, upstream: Upstream) -> bool:
+    def _is_available(self, upstream: Upstream, position: int) -> bool:
+        is_limited = upstream.stated_limit < NEVER
+        if is_limited and position not in self._request.limited:
+            # The calling host does not know of the limit.
+            return False
         record = upstream.record
         if record.state not in {READY, SILENT}:
             return False
@@ -172,3 +173,12 @@
         self._has_answered = True
         self.next_due = NEVER
         yield SendPeer(self._request.sender, response)
+
+
+def _held_back(upstream: Upstream | None) -> Outcome:
+    limit = None if upstream is None else upstream.stated_limit
+    return Outcome(
+        OutcomeKind.UNSENT,
+        detail='held back by the relay',
+        stated_limit=None if limit == NEVER else limit,
+    )
--- a/snipejunction/components/gateway/run.py
+++ b/snipejunction/components/gateway/run.py
@@ -15,6 +15,7 @@
 from snipejunction.components.gateway.const import (
     ANSWER_MARGIN_SECONDS,
     DEADLINE_MARGIN_SECONDS,
+    EVENT_LIMIT_REACHED,
     EVENT_RELAY_LATE,
     EVENT_RELAY_REQUEST_SENT,
     EVENT_REPEAT_SENT,
@@ -41,7 +42,11 @@
     Outcome,
 )
 from snipejunction.components.gateway.routing import pick_target
-from snipejunction.components.gateway.stated_limits import record_limit
+from snipejunction.components.gateway.stated_limits import (
+    count_attempt,
+    describe_limits,
+    record_limit,
+)
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.components.gateway.timing import hedge_delay
 from snipejunction.components.gateway.upstreams import Upstream
@@ -113,10 +118,12 @@
         chosen: list[tuple[Part, Upstream]] = []
         for part in self.parts:
             upstream = self._choose_upstream(part, now)
-            if upstream is not None:
+            if upstream is None:
+                yield from self._explain_missing(part, now)
+            else:
                 chosen.append((part, upstream))
         if not self._has_enough_parts(len(chosen)):
-            self.answer = make_refusal(len(self.parts))
+            self.answer = self._refuse()
             return
         attempts = []
         for part, upstream in chosen:
@@ -182,7 +189,7 @@
         if outcome.kind.may_have_arrived:
             part.possible_deliveries += 1
         self._record_outcome(attempt, outcome, now)
-        yield from record_limit(attempt.upstream, outcome, now)
+        yield from record_limit(attempt.upstream, outcome, self._table, now)
         reply = outcome.valid_reply
         if reply is None:
             left = self.deadline - now
@@ -211,8 +218,27 @@
             part.tried_searcher_ids,
             self._table,
             now,
+            is_hedge=bool(part.open_attempts),
         )
 
+    def _explain_missing(self, part: Part, now: float) -> Iterator[Command]:
+        """Record that limits keep a part from being sent, if they do."""
+        upstreams = self._table.upstreams_by_service.get(part.service, {})
+        limits = describe_limits(upstreams.values(), self._table, now)
+        if limits:
+            part.is_limited = True
+            yield LogEvent(
+                EVENT_LIMIT_REACHED,
+                request=self.request_id,
+                service=part.service,
+                limits=', '.join(limits),
+            )
+
+    def _refuse(self) -> Answer:
+        is_limited = any(part.is_limited for part in self.parts)
+        self._table.sharing.refusals += is_limited
+        return make_refusal(len(self.parts), is_limited=is_limited)
+
     def _create_attempt(
         self, part: Part, upstream: Upstream, now: float
     ) -> Attempt:
@@ -221,8 +247,7 @@
         upstream.in_flight += 1
         if now < upstream.cold_until:
             upstream.last_cold_send = now
-        if upstream.stated_limit < NEVER:
-            self._table.sharing.attempts += 1
+        count_attempt(upstream, self._table, now)
         return attempt
 
     def _send_attempts(
@@ -326,6 +351,8 @@
         # A part that reached no searcher caused no load, so the next send
         # does not count as a repeat.
         is_first = not part.possible_deliveries and not part.open_attempts
+        if upstream is None:
+            yield from self._explain_missing(part, now)
         if upstream is None or (left < 1 and not is_first):
             yield LogEvent(
                 EVENT_REPEAT_SKIPPED,
--- a/snipejunction/components/gateway/tables.py
+++ b/snipejunction/components/gateway/tables.py
@@ -14,6 +14,7 @@
 from snipejunction.components.gateway.document import Document, Service
 from snipejunction.components.gateway.routing import RouteIndex
 from snipejunction.components.gateway.timing import QuantileWindow
+from snipejunction.components.gateway.limit_sharing import LimitSharing
 from snipejunction.components.gateway.upstreams import Upstream
 
 
@@ -48,19 +49,6 @@
         self.known_at: float | None = None
 
 
-class LimitSharing:
-    """How hosts share the request rates that searchers state.
-
-    ``attempts`` counts the attempts sent to searchers that state a limit.
-    """
-
-    __slots__ = ('attempts',)
-
-    def __init__(self) -> None:
-        """Create a table without attempts."""
-        self.attempts = 0
-
-
 class GatewayTable:
     """State of an entry host; its systems read and change it.
 
@@ -123,7 +111,7 @@
         self.upstreams_by_service: dict[str, dict[str, Upstream]] = {}
         self.budgets: dict[str, RepeatBudget] = {}
         self.latencies: dict[str, QuantileWindow] = {}
-        self._sharing = LimitSharing()
+        self._sharing = LimitSharing(name)
 
     @property
     def region(self) -> str:
@@ -132,7 +120,7 @@
 
     @property
     def sharing(self) -> LimitSharing:
-        """Return what is known about the sharing of stated limits."""
+        """Return how hosts share the limits that searchers state."""
         return self._sharing
 
     @property
@@ -156,7 +144,13 @@
         """
         return 1 / len(self.active) if self.is_active else 0
 
-    def refresh_active(self) -> None:
+    @property
+    def is_cut_off(self) -> bool:
+        """Return whether no known control host has a leader."""
+        updates = self.hosts_by_sender.values()
+        return all(update.is_cut_off for update in updates)
+
+    def refresh_active(self, now: float) -> None:
         """Rebuild ``active`` from the lists of all control hosts."""
         records = {
             record.name: record
@@ -167,6 +161,26 @@
             record.name: record
             for record in advertised_entries(records.values())
         }
+        self._sharing.replace_active(self.active, now)
+
+    def drop_departed_hosts(self, now: float) -> None:
+        """Drop departed hosts that no longer share limits.
+
+        A host that is cut off keeps them: they may be alive elsewhere, and
+        count this host for some time only.
+        """
+        if not self.is_cut_off:
+            self._sharing.drop_departed(now)
+
+    def sharing_key(self, service: str, searcher_id: str) -> str:
+        """Return the key that orders the hosts sharing a searcher's limit.
+
+        It is the same for all shards of an index: a host needs shares of all
+        of them to answer a request.
+        """
+        if self.document is None or service in self.document.shard_services:
+            return ''
+        return searcher_id
 
     def budget(self, service: str) -> RepeatBudget:
         """Return the repeat budget of a service, creating it if needed."""
--- a/snipejunction/components/gateway/updates.py
+++ b/snipejunction/components/gateway/updates.py
@@ -113,10 +113,10 @@
     table.hosts_by_sender[message.sender] = message
     if message.entries:
         table.hosts_by_sender.pop(_LOST_SENDER, None)
-    table.refresh_active()
+    table.refresh_active(now)
 
 
-def remove_control(name: str, table: GatewayTable) -> None:
+def remove_control(name: str, table: GatewayTable, now: float) -> None:
     """Drop what a lost control host reported.
 
     If no other control host names any entry hosts, its list of hosts is kept
@@ -126,7 +126,7 @@
     others = table.hosts_by_sender.values()
     if lost is not None and not any(update.entries for update in others):
         table.hosts_by_sender[_LOST_SENDER] = lost
-    table.refresh_active()
+    table.refresh_active(now)
     for upstream in table.upstreams.values():
         upstream.remove_sender(name)
 
--- a/snipejunction/components/gateway/upstreams.py
+++ b/snipejunction/components/gateway/upstreams.py
@@ -19,6 +19,38 @@
 _HALF = 0.5
 
 
+class Allowance:
+    """Token bucket for one searcher; times are monotonic seconds.
+
+    ``confirmed_at`` is when a host last got the stated limit from it.
+    """
+
+    __slots__ = ('_filled_at', '_tokens', 'confirmed_at')
+
+    def __init__(self, now: float) -> None:
+        """Create an empty bucket."""
+        self._tokens = 0.0
+        self._filled_at = now
+        self.confirmed_at = now
+
+    def empty(self, now: float) -> None:
+        """Empty the bucket."""
+        self._tokens = 0
+        self._filled_at = now
+
+    def has_token(self, rate: float, now: float) -> bool:
+        """Fill the bucket by ``rate`` per second; return whether it is full."""
+        filled = self._tokens + rate * (now - self._filled_at)
+        self._tokens = min(1.0, filled)
+        self._filled_at = now
+        return rate > 0 and self._tokens >= 1
+
+    def take_token(self, rate: float, now: float) -> None:
+        """Take a token, even if the bucket holds less."""
+        self.has_token(rate, now)
+        self._tokens -= 1
+
+
 class Upstream(SearcherStatus):
     """Status and statistics of one searcher; times are monotonic seconds.
 
@@ -34,6 +66,7 @@
         '_refusals',
         '_sampled_at',
         '_slowness',
+        'allowance',
         'in_flight',
         'last_cold_send',
         'refused_until',
@@ -49,6 +82,7 @@
         self.stalled_at: float | None = None
         self.refused_until = 0.0
         self.stated_limit = NEVER
+        self.allowance = Allowance(now)
         self._refusals = 0
         self._slowness = 1.0
         self._failure = 0.0
--- a/snipejunction/components/registration/messages.py
+++ b/snipejunction/components/registration/messages.py
@@ -65,6 +65,34 @@
         self.searchers = searchers
 
 
+@wire(158)
+class LimitRecord(Record):
+    """The request rate that a searcher states for all entry hosts.
+
+    ``born_ms`` is the Unix time of its start in milliseconds; ``rate`` is in
+    requests per second, infinite if it states none any more.
+    """
+
+    __slots__ = ('born_ms', 'rate', 'searcher_id')
+
+    def __init__(self, searcher_id: str, born_ms: int, rate: float) -> None:
+        """Create a record."""
+        self.searcher_id = searcher_id
+        self.born_ms = born_ms
+        self.rate = rate
+
+
+@wire(159)
+class LimitUpdate(PeerMessage):
+    """Limits that searchers stated, on the way to all entry hosts."""
+
+    __slots__ = ('limits',)
+
+    def __init__(self, limits: list[LimitRecord]) -> None:
+        """Create a message."""
+        self.limits = limits
+
+
 class SearcherAnnounced(Message):
     """A searcher announced itself to this control host."""
 
--- a/snipejunction/components/registration/systems/__init__.py
+++ b/snipejunction/components/registration/systems/__init__.py
@@ -1,5 +1,5 @@
 """Systems of the registration component."""
 
-from snipejunction.components.registration.systems import announcing
+from snipejunction.components.registration.systems import announcing, limits
 
-__all__ = ('announcing',)
+__all__ = ('announcing', 'limits')
--- a/snipejunction/components/registration/systems/announcing.py
+++ b/snipejunction/components/registration/systems/announcing.py
@@ -278,6 +278,7 @@
     for searcher_id, known in list(table.searchers.items()):
         if _is_expired(known, now):
             table.searchers.pop(searcher_id)
+            table.limits.pop(searcher_id, None)
         elif _is_monitored(known, node):
             age = now - known.announced_at
             if age > silent_after:
--- a/snipejunction/components/registration/tables.py
+++ b/snipejunction/components/registration/tables.py
@@ -4,7 +4,10 @@
 
 from typing import Final
 
-from snipejunction.components.registration.messages import SearcherRecord
+from snipejunction.components.registration.messages import (
+    LimitRecord,
+    SearcherRecord,
+)
 from snipejunction.components.registration.searcher_status import SearcherStatus
 from snipejunction.timers import NEVER
 
@@ -31,11 +34,13 @@
 
     ``interval`` is the time between two announcements of one searcher, in
     seconds. ``unsent_to_entries`` and ``unsent_to_controls`` hold the ids of
-    the searchers whose last change was not sent to these hosts yet.
+    the searchers whose last change was not sent to these hosts yet. ``limits``
+    holds the limits that searchers state, by id.
     """
 
     __slots__ = (
         'interval',
+        'limits',
         'searchers',
         'sweep_due',
         'unsent_to_controls',
@@ -46,6 +51,7 @@
         """Create an empty table."""
         self.interval = DEFAULT_INTERVAL_SECONDS
         self.searchers: dict[str, KnownSearcher] = {}
+        self.limits: dict[str, LimitRecord] = {}
         self.sweep_due = 0.0
         self.unsent_to_controls: dict[str, None] = {}
         self.unsent_to_entries: dict[str, None] = {}
--- a/snipejunction/edge/gateway/control_link.py
+++ b/snipejunction/edge/gateway/control_link.py
@@ -33,9 +33,17 @@
     update_hosts,
 )
 from snipejunction.components.gateway.messages import PartsMessage
+from snipejunction.components.gateway.stated_limits import (
+    apply_limit_update,
+    pop_unreported,
+)
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.components.registration.const import GONE
-from snipejunction.components.registration.messages import SearcherUpdate
+from snipejunction.components.registration.messages import (
+    LimitRecord,
+    LimitUpdate,
+    SearcherUpdate,
+)
 from snipejunction.edge import const
 from snipejunction.edge.gateway.host_profile import HostProfile, find_address
 from snipejunction.edge.gateway.relays import Relays
@@ -131,6 +139,20 @@
         subscribed = self._subscribed_controls()
         for name in sorted(names):
             self.peers.send(name, self._make_heartbeat(name in subscribed))
+        self.report_limits(pop_unreported(self._hooks.table))
+
+    def report_limits(self, limits: list[LimitRecord]) -> None:
+        """Report limits that searchers stated to this host."""
+        if not limits:
+            return
+        names = controls_to_notify(
+            self._hooks.table,
+            self.connected,
+            self._profile.seeds,
+            self._loop.time(),
+        )
+        for name in sorted(names):
+            self.peers.send(name, LimitUpdate(limits))
 
     def log(self, event: LogEvent) -> None:
         """Write an event to the log."""
@@ -172,7 +194,7 @@
         is_entry = self._hooks.relays.is_entry_host(message.host)
         self._hooks.relays.handle_lost(message.host)
         if not is_entry:
-            remove_control(message.host, self._hooks.table)
+            remove_control(message.host, self._hooks.table, self._loop.time())
             # Another control host may have to replace it.
             self.send_heartbeats()
 
@@ -215,6 +237,11 @@
             if record.state == GONE:
                 self._hooks.on_searcher_gone(record.searcher_id)
 
+    @_handle.register
+    def _handle_limits(self, message: LimitUpdate) -> None:
+        now = self._loop.time()
+        self._execute(apply_limit_update(message, self._hooks.table, now))
+
     def _execute(self, commands: Iterable[Command]) -> None:
         for command in commands:
             if isinstance(command, LogEvent):
--- a/snipejunction/edge/gateway/forwarding.py
+++ b/snipejunction/edge/gateway/forwarding.py
@@ -22,6 +22,7 @@
 )
 from snipejunction.components.gateway.replies import SUCCESSES, Answer, Outcome
 from snipejunction.components.gateway.run import RequestRun
+from snipejunction.components.gateway.stated_limits import ReportLimits
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.edge.gateway.caller_connection import CallerRequest
 from snipejunction.edge.gateway.header_names import HeaderNames
@@ -55,6 +56,9 @@
     def log(self, event: LogEvent) -> None:
         """Write an event to the log."""
 
+    def report_limits(self, command: ReportLimits) -> None:
+        """Report limits to the control hosts."""
+
     def on_request_done(self, forwarded: ForwardedRequest) -> None:
         """Remove a request that was answered or whose caller left."""
 
@@ -126,6 +130,8 @@
             elif isinstance(command, SendPartsToRelay):
                 self._count_repeats(*command.attempts)
                 self._send_to_relay(command)
+            elif isinstance(command, ReportLimits):
+                self._hooks.report_limits(command)
             elif isinstance(command, LogEvent):
                 self._hooks.log(command)
 
@@ -273,7 +279,9 @@
         )
         for attempt in part.attempts
     ]
-    return ', '.join(attempts) or 'nobody to ask'
+    if attempts:
+        return ', '.join(attempts)
+    return 'stated limits' if part.is_limited else 'nobody to ask'
 
 
 def _format_head(request: CallerRequest, header_names: HeaderNames) -> bytes:
--- a/snipejunction/edge/gateway/gateway_host.py
+++ b/snipejunction/edge/gateway/gateway_host.py
@@ -18,6 +18,7 @@
 )
 from snipejunction.components.gateway.readiness import is_prepared
 from snipejunction.components.gateway.run import RequestRun
+from snipejunction.components.gateway.stated_limits import ReportLimits
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.edge.event_log import EventLog
 from snipejunction.edge.gateway.caller_connection import CallerRequest
@@ -169,6 +170,10 @@
         """Write an event to the log."""
         self._event_log.write(event)
 
+    def report_limits(self, command: ReportLimits) -> None:
+        """Report limits to the control hosts."""
+        self.link.report_limits(command.limits)
+
     def metrics_text(self) -> bytes:
         """Return all metrics with current gauges in the text format."""
         return self.metrics.text(self._gauges())
@@ -235,6 +240,10 @@
                 'Attempts that were ever sent to a searcher with a limit.',
                 table.sharing.attempts,
             ),
+            'refusals_limited': (
+                'Requests that were ever refused because of stated limits.',
+                table.sharing.refusals,
+            ),
             'attempts_open': (
                 'Requests at searchers.',
                 sum(upstream.in_flight for upstream in upstreams),
--- a/snipejunction/edge/gateway/relay_calls.py
+++ b/snipejunction/edge/gateway/relay_calls.py
@@ -15,6 +15,7 @@
 from snipejunction.components.gateway.parts import Attempt, SendPartsToRelay
 from snipejunction.components.gateway.replies import Outcome, OutcomeKind, Reply
 from snipejunction.edge.peers import PeerTable
+from snipejunction.timers import NEVER
 
 MergedOutcomes: TypeAlias = list[tuple[Attempt, Outcome]]
 OnMerged: TypeAlias = Callable[[str, MergedOutcomes], None]
@@ -89,6 +90,11 @@
             command.top,
             command.deadline - self._loop.time(),
             command.merge_after,
+            [
+                position
+                for position, attempt in enumerate(command.attempts)
+                if attempt.upstream.stated_limit < NEVER
+            ],
         )
         self._peers.send(command.relay, request)
         return call
--- a/snipejunction/edge/gateway/relay_jobs.py
+++ b/snipejunction/edge/gateway/relay_jobs.py
@@ -17,6 +17,7 @@
     SendRelayedPart,
 )
 from snipejunction.components.gateway.replies import Outcome
+from snipejunction.components.gateway.stated_limits import ReportLimits
 from snipejunction.edge.gateway.forwarding import ForwardingHooks
 from snipejunction.edge.gateway.headers import complete_head
 from snipejunction.edge.gateway.searcher_pool import PendingRequest
@@ -79,6 +80,8 @@
                 self._send(command)
             elif isinstance(command, SendPeer):
                 self._jobs.peers.send(command.host, command.message)
+            elif isinstance(command, ReportLimits):
+                self._hooks.report_limits(command)
             elif isinstance(command, LogEvent):
                 self._hooks.log(command)
         self._schedule_advance(self._call.next_due)
--- a/tests/components/gateway/fleet.py
+++ b/tests/components/gateway/fleet.py
@@ -9,22 +9,35 @@
 from random import Random
 
 from snipejunction.commands import Command, LogEvent
+from snipejunction.components.deployment.messages import (
+    EntryRecord,
+    HostsUpdate,
+)
+from snipejunction.components.gateway.budget import RepeatLimits
 from snipejunction.components.gateway.document import Route
 from snipejunction.components.gateway.parts import Attempt, SendAttempt
 from snipejunction.components.gateway.replies import Outcome, OutcomeKind, Reply
 from snipejunction.components.gateway.run import RequestRun
+from snipejunction.components.gateway.stated_limits import (
+    ReportLimits,
+    apply_limit_update,
+    pop_unreported,
+)
 from snipejunction.components.gateway.tables import GatewayTable
+from snipejunction.components.gateway.updates import update_hosts
+from snipejunction.components.registration.messages import LimitUpdate
 from snipejunction.timers import NEVER
 from tests.components.gateway.stage import (
     install_document,
     make_record,
     make_route,
-    make_table,
     report_searchers,
-    set_entries,
 )
 
 ANSWER_SECONDS = 0.02
+HOSTS_PER_CENTRE = 3
+# From one host through a control host to another.
+REPORT_SECONDS = 0.02
 
 
 class Fleet:
@@ -58,14 +71,23 @@
 
     def make_host(self, name: str) -> GatewayTable:
         """Return the tables of a host that has just started."""
-        table = make_table(name, started=self.now)
-        table.random.seed(self._random.random())
+        limits = RepeatLimits(0.2, 60, 10)
+        random = Random(self._random.random())
+        table = GatewayTable(
+            name, 'near', {'near': 'one'}, limits, random, self.now
+        )
         install_document(table, self.route, max_connections=300)
         for service in self._services:
             for searcher in self._searchers:
                 record = make_record(f'{service}-{searcher}', service)
                 report_searchers(table, record)
-        set_entries(table, self.names)
+        records = [
+            EntryRecord(host, host, f'd{number // HOSTS_PER_CENTRE}', 'one')
+            for number, host in enumerate(self.names)
+        ]
+        hosts = HostsUpdate({'c1': 'near'}, records, False)
+        hosts.sender = 'c1'
+        update_hosts(hosts, table, self.now)
         return table
 
     def restart(self, name: str) -> None:
@@ -79,6 +101,8 @@
         while when < end:
             when += self._random.expovariate(rate)
             self._schedule(when, self._send_request)
+        for second in range(int(seconds)):
+            self._schedule(end - second, self._send_reports)
         self._run_until(end)
 
     def most_arrivals(
@@ -96,20 +120,6 @@
             default=0,
         )
 
-    def _schedule(self, when: float, action: Callable[[], None]) -> None:
-        heapq.heappush(self._heap, (when, next(self._numbers), action))
-
-    def _run_until(self, end: float) -> None:
-        while self._heap and self._heap[0][0] <= end:
-            self.now, _, action = heapq.heappop(self._heap)
-            action()
-        self.now = end
-
-    def _send_request(self) -> None:
-        table = self.tables[self._random.choice(self.names)]
-        number = next(self._numbers)
-        _FleetRequest(self, f'r{number}', self.route, table).start()
-
     def deliver(self, request: _FleetRequest, attempt: Attempt) -> None:
         """Let a searcher receive an attempt and answer it."""
         searcher = attempt.upstream.searcher_id
@@ -128,6 +138,37 @@
         """Run the next step of a request."""
         self._schedule(when, action)
 
+    def deliver_limits(self, command: ReportLimits) -> None:
+        """Let all hosts receive a report of limits."""
+        update = LimitUpdate(command.limits)
+        update.sender = 'c1'
+        self._schedule(
+            self.now + REPORT_SECONDS, lambda: self._apply_limits(update)
+        )
+
+    def _schedule(self, when: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._heap, (when, next(self._numbers), action))
+
+    def _send_reports(self) -> None:
+        for table in self.tables.values():
+            self.deliver_limits(ReportLimits(pop_unreported(table)))
+
+    def _apply_limits(self, update: LimitUpdate) -> None:
+        for table in self.tables.values():
+            self.events += apply_limit_update(update, table, self.now)
+
+    def _run_until(self, end: float) -> None:
+        while self._heap and self._heap[0][0] <= end:
+            when, _, action = heapq.heappop(self._heap)
+            self.now = when
+            action()
+        self.now = end
+
+    def _send_request(self) -> None:
+        table = self.tables[self._random.choice(self.names)]
+        number = next(self._numbers)
+        _FleetRequest(self, f'r{number}', self.route, table).start()
+
 
 class _FleetRequest:
     """A request of a caller to one of the hosts."""
@@ -155,6 +196,8 @@
         for command in commands:
             if isinstance(command, SendAttempt):
                 self._fleet.deliver(self, command.attempt)
+            elif isinstance(command, ReportLimits):
+                self._fleet.deliver_limits(command)
             elif isinstance(command, LogEvent):
                 self._fleet.events.append(command)
         answer = self._run.answer
--- a/tests/components/gateway/test_addressing.py
+++ b/tests/components/gateway/test_addressing.py
@@ -54,26 +54,26 @@
 
     def test_lost_control_host(self) -> None:
         """Hosts that only a lost control host listed are dropped."""
-        remove_control('c1', self.table)
+        remove_control('c1', self.table, 0)
         self.assertThat(self.addresses_for('near', 'one'), Equals(['c:80']))
 
     def test_control_host_without_entries(self) -> None:
         """An empty list does not replace that of a lost control host."""
         self.send_hosts('c2')
-        remove_control('c1', self.table)
+        remove_control('c1', self.table, 0)
         self.assertThat(self.addresses_for('near', 'one'), Equals(['a:80']))
 
     def test_replaced_later(self) -> None:
         """A lost control host's list is kept until another one lists hosts."""
         self.send_hosts('c2')
-        remove_control('c1', self.table)
+        remove_control('c1', self.table, 0)
         self.send_hosts('c2', ('c', 'near', 'one'))
         self.assertThat(self.addresses_for('near', 'one'), Equals(['c:80']))
 
     def test_last_control_host(self) -> None:
         """The list of the last control host is kept after its loss."""
-        remove_control('c1', self.table)
-        remove_control('c2', self.table)
+        remove_control('c1', self.table, 0)
+        remove_control('c2', self.table, 0)
         self.assertThat(self.addresses_for('near', 'one'), Equals(['c:80']))
 
     def test_stopping_host(self) -> None:
--- a/tests/components/gateway/test_relayed.py
+++ b/tests/components/gateway/test_relayed.py
@@ -45,7 +45,7 @@
 
     def start_call(self) -> None:
         searchers = [f'{shard}-a' for shard in SHARDS]
-        request = PartsRequest(5, 'id', b'', b'', searchers, 2, 1, 0.05)
+        request = PartsRequest(5, 'id', b'', b'', searchers, 2, 1, 0.05, [])
         request.sender = 'asker'
         self.call = RelayedCall(request, self.table, 10)
         self.responses: list[PartsResponse] = []
--- a/tests/components/gateway/test_updates.py
+++ b/tests/components/gateway/test_updates.py
@@ -81,7 +81,7 @@
         silent = make_record('a', sequence=9, state=SILENT)
         report_searchers(self.table, silent, sender='c2')
         self.assertThat(self.is_silent('a'), Is(False))
-        remove_control('c1', self.table)
+        remove_control('c1', self.table, 0)
         self.assertThat(self.is_silent('a'), Is(True))
 
 
