Keep owners within the request rate that a searcher states

Cause: the same as at entry hosts: the protocol of owners had no word for a rate, and an owner bounded slots, connections and cold starts only.

Change: X-Rate-Limit of an answer or a refusal is the rate; its owner, the only sender, lets requests pass from a bucket of one token that starts empty. Requests that cannot be sent in time are refused at once, so that the root asks another replica. The rate goes along with a hand-over and ends with a restart of the searcher. Events 408 to 410, counter owner.limited.

Stand-in, bench and scenarios state rates (verbs limit and unlimit, a random fault), and count what exceeds them.

--- a/snipejunction/bench/fake_upstream.py
+++ b/snipejunction/bench/fake_upstream.py
@@ -35,6 +35,7 @@
     DispatchRequest,
 )
 from snipejunction.const import SEARCHER_LEAVING, SEARCHER_READY
+from snipejunction.standin.stated_rate import StatedRate
 
 ServiceTime: TypeAlias = Callable[[Random], float]
 OnResult: TypeAlias = Callable[[DispatchEnded], None]
@@ -46,6 +47,10 @@
 # Requests served before the capacity of a cold searcher grows by one.
 REQUESTS_PER_WARM_STEP: Final = 20
 CANCEL_SECONDS: Final = 0.001
+# The owner of a searcher may send one request more than the rate allows in a
+# window: its bucket holds one token.
+RATE_FACTOR: Final = 1
+RATE_MARGIN: Final = 1
 
 
 class _RunningRequest:
@@ -68,7 +73,8 @@
 class FakeUpstream:
     """A searcher of a service.
 
-    ``violations`` counts by kind: slots, connections, cold and doubled.
+    ``violations`` counts by kind: slots, connections, cold, doubled and rate.
+    ``stated_rate`` is the rate that its answers state.
     """
 
     __slots__ = (
@@ -98,6 +104,7 @@
         'service',
         'service_time',
         'slots',
+        'stated_rate',
         'slowness',
         'violations',
     )
@@ -143,6 +150,7 @@
         self._document_counts: dict[SnapshotId, tuple[int, ...]] = {}
         self._connections: set[tuple[str, int]] = set()
         self._running: dict[tuple[str, int], _RunningRequest] = {}
+        self.stated_rate = StatedRate(RATE_FACTOR, RATE_MARGIN)
         self._boot_number = 1
         self._sequence = 0
         self._served_count = slots * REQUESTS_PER_WARM_STEP
@@ -250,10 +258,12 @@
         if (source, dispatch.connection_id) not in self._connections:
             on_result(DispatchEnded(dispatch.dispatch_id, ENDED_LOST))
             return
+        if not self.stated_rate.count_arrival(self._schedule.now):
+            self._record_violation('rate', source)
         running = _RunningRequest(source, dispatch, on_result)
         refusal = self._refusal_of(dispatch)
         if refusal:
-            on_result(DispatchEnded(dispatch.dispatch_id, refusal))
+            self._answer(running, DispatchEnded(dispatch.dispatch_id, refusal))
             return
         self._running[source, dispatch.dispatch_id] = running
         self._count_run(running)
@@ -324,6 +334,12 @@
             for running in list(self._running.values()):
                 self._end(running, ENDED_ERROR)
 
+    def _answer(self, running: _RunningRequest, ended: DispatchEnded) -> None:
+        """Send an answer, which states the limit."""
+        ended.stated_limit = self.stated_rate.rate
+        self.stated_rate.count_answer(self._schedule.now)
+        running.on_result(ended)
+
     def _record_violation(self, kind: str, source: str) -> None:
         self.violations[kind] += 1
         self._recorder.record(
@@ -354,7 +370,7 @@
         if outcome != ENDED_OK:
             running.on_result(DispatchEnded(dispatch.dispatch_id, outcome))
             return
-        running.on_result(self._make_success(dispatch))
+        self._answer(running, self._make_success(dispatch))
 
     def _make_success(self, dispatch: DispatchRequest) -> DispatchEnded:
         snapshot = dispatch.snapshot
--- a/snipejunction/components/gateway/const.py
+++ b/snipejunction/components/gateway/const.py
@@ -83,12 +83,6 @@
 # Interval at which a host without usable control hosts tries two more of them,
 # in seconds: longer than a handshake with an idle control host.
 CONTROL_SEARCH_STEP_SECONDS: Final = 0.5
-# Window in which the requests of all hosts to a searcher stay within the limit
-# that it states, in seconds.
-LIMIT_WINDOW_SECONDS: Final = 4.0
-# Lower bound of the used share of a limit: below half a request per second one
-# token is more than the limit allows in a window.
-MIN_LIMIT_SHARE: Final = 0.5
 # Time without any confirmation of a limit after which further hosts send, in
 # seconds: several reports, which are sent with each heartbeat.
 UNCONFIRMED_LIMIT_SECONDS: Final = 5.0
--- a/snipejunction/components/gateway/stated_limits.py
+++ b/snipejunction/components/gateway/stated_limits.py
@@ -18,8 +18,6 @@
     EVENT_LIMIT_LIFTED,
     EVENT_LIMIT_STATED,
     EVENT_LIMIT_UNREADABLE,
-    LIMIT_WINDOW_SECONDS,
-    MIN_LIMIT_SHARE,
     UNCONFIRMED_LIMIT_SECONDS,
 )
 from snipejunction.components.gateway.replies import Outcome
@@ -29,6 +27,7 @@
     LimitRecord,
     LimitUpdate,
 )
+from snipejunction.helpers.rates import MIN_LIMIT_SHARE, rate_of_each
 from snipejunction.timers import NEVER
 
 _OWN_ANSWER: Final = 'its answer'
@@ -44,20 +43,6 @@
         self.limits = limits
 
 
-def parse_limit(text: bytes) -> float:
-    """Return the rate in a header, ``NEVER`` without one.
-
-    The rate is not a number if the text is neither zero nor a positive one.
-    """
-    if not text:
-        return NEVER
-    try:
-        rate = float(text)
-    except ValueError:
-        return math.nan
-    return rate if 0 <= rate < NEVER else math.nan
-
-
 def record_limit(
     upstream: Upstream,
     outcome: Outcome,
@@ -158,11 +143,7 @@
 
 
 def _share(upstream: Upstream, table: GatewayTable, now: float) -> float:
-    """Return the rate at which this host may send to a searcher.
-
-    The rates of all hosts and their full buckets add up to the limit in
-    ``LIMIT_WINDOW_SECONDS``.
-    """
+    """Return the rate at which this host may send to a searcher."""
     sharing = table.sharing
     table.drop_departed_hosts(now)
     limit = upstream.stated_limit
@@ -175,8 +156,7 @@
         position = sharing.position(key, record.data_centre)
         if not _is_sender(position - senders, upstream, now):
             return 0
-    total = limit - senders / LIMIT_WINDOW_SECONDS
-    return max(total, limit * MIN_LIMIT_SHARE) / senders
+    return rate_of_each(limit, senders)
 
 
 def _is_sender(surplus: int, upstream: Upstream, now: float) -> bool:
--- a/snipejunction/components/gateway/upstreams.py
+++ b/snipejunction/components/gateway/upstreams.py
@@ -14,42 +14,26 @@
 from snipejunction.components.registration.const import GONE
 from snipejunction.components.registration.messages import SearcherRecord
 from snipejunction.components.registration.searcher_status import SearcherStatus
+from snipejunction.helpers.rates import TokenBucket
 from snipejunction.timers import NEVER
 
 _HALF = 0.5
 
 
-class Allowance:
-    """Token bucket for one searcher; times are monotonic seconds.
+class Allowance(TokenBucket):
+    """This host's share of the limit that a searcher states.
 
-    ``confirmed_at`` is when a host last got the stated limit from it.
+    ``confirmed_at`` is when a host last got the limit from the searcher, in
+    monotonic seconds.
     """
 
-    __slots__ = ('_filled_at', '_tokens', 'confirmed_at')
+    __slots__ = ('confirmed_at',)
 
     def __init__(self, now: float) -> None:
         """Create an empty bucket."""
-        self._tokens = 0.0
-        self._filled_at = now
+        super().__init__(now)
         self.confirmed_at = now
 
-    def empty(self, now: float) -> None:
-        """Empty the bucket."""
-        self._tokens = 0
-        self._filled_at = now
-
-    def has_token(self, rate: float, now: float) -> bool:
-        """Fill the bucket by ``rate`` per second; return whether it is full."""
-        filled = self._tokens + rate * (now - self._filled_at)
-        self._tokens = min(1.0, filled)
-        self._filled_at = now
-        return rate > 0 and self._tokens >= 1
-
-    def take_token(self, rate: float, now: float) -> None:
-        """Take a token, even if the bucket holds less."""
-        self.has_token(rate, now)
-        self._tokens -= 1
-
 
 class Upstream(SearcherStatus):
     """Status and statistics of one searcher; times are monotonic seconds.
--- a/snipejunction/components/owner/const.py
+++ b/snipejunction/components/owner/const.py
@@ -144,3 +144,18 @@
     'info',
     'released searcher {searcher} to host {owner}',
 )
+EVENT_LIMIT_STATED: Final = EventKind(
+    408,
+    'warning',
+    'searcher {searcher} states a limit of {limit} requests per second',
+)
+EVENT_LIMIT_LIFTED: Final = EventKind(
+    409,
+    'info',
+    'searcher {searcher} states no limit any more',
+)
+EVENT_LIMIT_UNREADABLE: Final = EventKind(
+    410,
+    'warning',
+    'searcher {searcher} states a limit that is no number',
+)
--- a/snipejunction/components/owner/peer_messages.py
+++ b/snipejunction/components/owner/peer_messages.py
@@ -49,7 +49,8 @@
     ``base`` the service time of the warm searcher, zero if unknown.
     ``mean`` and ``high`` are the current mean and 90th percentile of the
     service time. Times are in seconds. ``settings_revision`` is the
-    revision of the settings that the owner had applied.
+    revision of the settings that the owner had applied. ``stated_limit`` is
+    the request rate that the boot states, infinite if it states none.
     """
 
     __slots__ = (
@@ -61,6 +62,7 @@
         'limit',
         'mean',
         'settings_revision',
+        'stated_limit',
     )
 
     def __init__(
@@ -73,6 +75,7 @@
         mean: float,
         high: float,
         settings_revision: int,
+        stated_limit: float,
     ) -> None:
         """Create an entry of a hand-over."""
         self.announcement = announcement
@@ -83,6 +86,7 @@
         self.mean = mean
         self.high = high
         self.settings_revision = settings_revision
+        self.stated_limit = stated_limit
 
 
 @wire(_HAND_OVER_TYPE)
--- a/snipejunction/components/owner/searcher.py
+++ b/snipejunction/components/owner/searcher.py
@@ -19,6 +19,7 @@
 from snipejunction.components.owner.pool import Connection, ConnectionPool
 from snipejunction.components.owner.warmth import Warmth
 from snipejunction.components.owner.work import Work
+from snipejunction.helpers.rates import TokenBucket, rate_of_each
 from snipejunction.timers import NEVER
 
 _MAX_REPLACED_BOOTS: Final = 8
@@ -138,6 +139,39 @@
         return min(self.slot_free_at, now + (now - self.started_at))
 
 
+class RateLimit:
+    """The request rate that a searcher states; the owner is its only sender.
+
+    ``stated`` is in requests per second, ``NEVER`` if it states none.
+    """
+
+    __slots__ = ('_bucket', 'stated')
+
+    def __init__(self) -> None:
+        """Create the state of a searcher that states no limit."""
+        self._bucket = TokenBucket(0)
+        self.stated = NEVER
+
+    def replace(self, stated: float, now: float) -> bool:
+        """Replace the stated rate; return whether it changed."""
+        if stated == self.stated:
+            return False
+        if self.stated == NEVER:
+            self._bucket.empty(now)
+        self.stated = stated
+        return True
+
+    def wait(self, ahead: int, now: float) -> float:
+        """Return the seconds until a request behind ``ahead`` may be sent."""
+        if self.stated == NEVER:
+            return 0
+        return self._bucket.wait(rate_of_each(self.stated, 1), ahead + 1, now)
+
+    def count_request(self, now: float) -> None:
+        """Count a request that is sent while a rate is stated."""
+        self._bucket.take_token(rate_of_each(self.stated, 1), now)
+
+
 class Searcher:
     """A searcher: its announcement, estimates, queue and dispatches.
 
@@ -164,6 +198,7 @@
         'pool',
         'queue',
         'queue_limit',
+        'rate_limit',
         'repeat_budget',
         'slots',
         'warmth',
@@ -188,6 +223,7 @@
         self.health = ConnectionHealth()
         self.queue = FairQueue()
         self.repeat_budget = RepeatBudget()
+        self.rate_limit = RateLimit()
         self.dispatches: dict[int, Dispatch] = {}
         self.backoff_until = -NEVER
         self._replaced_boots: deque[tuple[str, float]] = deque(
@@ -264,6 +300,7 @@
         self.boot_id = boot_id
         self.epoch += 1
         self.is_leaving = False
+        self.rate_limit.replace(NEVER, now)
         self.warmth.reset(now)
 
     def is_replaced_boot(self, boot_id: str, now: float) -> bool:
--- a/snipejunction/components/owner/systems/adopting.py
+++ b/snipejunction/components/owner/systems/adopting.py
@@ -27,6 +27,7 @@
 from snipejunction.components.owner.systems.rules import may_contact
 from snipejunction.const import SEARCHER_LEAVING
 from snipejunction.node import Node
+from snipejunction.timers import NEVER
 
 
 def register_announcement(
@@ -168,6 +169,8 @@
         searcher.announcement = announcement
     if learned.is_leaving:
         yield from mark_leaving(node, searcher, now)
+    if searcher.rate_limit.stated == NEVER:
+        searcher.rate_limit.replace(learned.stated_limit, now)
     returned_at_revision = node.owner.hand_overs.returned_at_revision.get(
         announcement.data_centre,
         0,
--- a/snipejunction/components/owner/systems/dispatching.py
+++ b/snipejunction/components/owner/systems/dispatching.py
@@ -91,7 +91,7 @@
             searcher.warmth.restrict_if_unconfirmed(now)
         yield from _fill_slots(node, searcher, now)
         yield from open_missing_connections(node, searcher, now)
-    _schedule_queue_timer(node, searcher)
+    _schedule_queue_timer(node, searcher, now)
 
 
 def repeat_dispatch(
@@ -142,7 +142,7 @@
     """Refuse all queued work of a searcher."""
     for work in searcher.queue.drain():
         yield from refuse(work, refusal, node, now)
-    _schedule_queue_timer(node, searcher)
+    _schedule_queue_timer(node, searcher, now)
 
 
 def expected_wait(searcher: Searcher, caller: str, now: float) -> float:
@@ -150,9 +150,13 @@
     effective_limit = searcher.warmth.effective_limit
     if not effective_limit:
         return NEVER
-    ahead = searcher.in_flight + searcher.queue.count_ahead(caller)
+    queued = searcher.queue.count_ahead(caller)
+    ahead = searcher.in_flight + queued
     turns = max(0, ahead + 1 - effective_limit) / effective_limit
-    wait = turns * searcher.latency.mean
+    wait = max(
+        turns * searcher.latency.mean,
+        searcher.rate_limit.wait(queued, now),
+    )
     if searcher.free_slots > 0:
         return wait
     return max(wait, searcher.blocked_until(now) - now)
@@ -182,6 +186,8 @@
     now: float,
 ) -> Iterator[Command]:
     while searcher.free_slots > 0 and searcher.pool.has_idle:
+        if searcher.rate_limit.wait(0, now):
+            return
         work = searcher.queue.pop()
         if work is None:
             return
@@ -216,6 +222,9 @@
         now + _suspect_timeout(searcher),
     )
     searcher.dispatches[dispatch_id] = dispatch
+    if searcher.rate_limit.stated < NEVER:
+        searcher.rate_limit.count_request(now)
+        node.owner.count('owner.limited')
     if now >= connection.last_active_at + IDLE_SUSPECT_SECONDS:
         dispatch.suspect_at = now + _idle_suspect_timeout(searcher)
         notice = SuspectDue(dispatch_id)
@@ -266,7 +275,10 @@
     wait = expected_wait(searcher, work.caller, now)
     is_too_late = wait + searcher.latency.mean > time_left
     if wait and (is_too_late or wait > _queue_timeout(work, now)):
-        return _overload_refusal('its queue is too long', searcher, now)
+        detail = 'its queue is too long'
+        if searcher.rate_limit.stated < NEVER:
+            detail = f'it states a limit of {searcher.rate_limit.stated} per s'
+        return _overload_refusal(detail, searcher, now)
     return None
 
 
@@ -283,10 +295,13 @@
     return not_run_refusal(CODE_OVERLOAD, detail, min(wait, MAX_QUEUE_SECONDS))
 
 
-def _schedule_queue_timer(node: Node, searcher: Searcher) -> None:
+def _schedule_queue_timer(node: Node, searcher: Searcher, now: float) -> None:
     if not len(searcher.queue):
         return
     due_at = searcher.queue.next_due()
+    wait = searcher.rate_limit.wait(0, now)
+    if wait:
+        due_at = min(due_at, now + wait)
     if due_at >= searcher.queue.timer_due:
         return
     node.timers.cancel(searcher.queue.timer)
--- a/snipejunction/components/owner/systems/finishing.py
+++ b/snipejunction/components/owner/systems/finishing.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator
 from types import MappingProxyType
 from typing import Final
 
-from snipejunction.commands import Command
+from snipejunction.commands import Command, LogEvent
 from snipejunction.components.directory.systems.publishing import (
     publish_if_changed,
 )
@@ -20,10 +21,13 @@
     ENDED_OK,
     ENDED_SHED,
     ENDED_SNAPSHOT_NOT_HELD,
+    EVENT_LIMIT_LIFTED,
+    EVENT_LIMIT_STATED,
+    EVENT_LIMIT_UNREADABLE,
     MAX_BACKOFF_SECONDS,
     MAX_PAYLOAD_BYTES,
 )
-from snipejunction.components.owner.searcher import Dispatch
+from snipejunction.components.owner.searcher import Dispatch, Searcher
 from snipejunction.components.owner.systems.answering import complete, refuse
 from snipejunction.components.owner.systems.connecting import (
     close_connection,
@@ -63,6 +67,7 @@
 )
 from snipejunction.handling import handle
 from snipejunction.node import Node
+from snipejunction.timers import NEVER
 from snipejunction.verdict import (
     Refusal,
     Verdict,
@@ -173,6 +178,7 @@
     if ended.boot_id and ended.boot_id != searcher.boot_id:
         yield from handle_restart(node, searcher, ended.boot_id, now)
         return
+    yield from _record_rate_limit(searcher, ended, now)
     if ended.boot_id:
         searcher.warmth.confirm_boot(dispatch.started_at, now)
     if ended.outcome == ENDED_LEAVING:
@@ -187,6 +193,24 @@
     _update_estimates(dispatch, ended.outcome, now)
 
 
+def _record_rate_limit(
+    searcher: Searcher, ended: DispatchEnded, now: float
+) -> Iterator[Command]:
+    """Record the request rate that an answer stated."""
+    stated = ended.stated_limit
+    if stated is None:
+        return
+    if math.isnan(stated):
+        yield LogEvent(EVENT_LIMIT_UNREADABLE, searcher=searcher.key)
+    elif searcher.rate_limit.replace(stated, now):
+        if stated == NEVER:
+            yield LogEvent(EVENT_LIMIT_LIFTED, searcher=searcher.key)
+        else:
+            yield LogEvent(
+                EVENT_LIMIT_STATED, searcher=searcher.key, limit=stated
+            )
+
+
 def _update_estimates(dispatch: Dispatch, outcome: str, now: float) -> None:
     """Update the limit and the latency estimate with an outcome."""
     searcher = dispatch.searcher
--- a/snipejunction/components/owner/systems/handing_over.py
+++ b/snipejunction/components/owner/systems/handing_over.py
@@ -20,6 +20,7 @@
 from snipejunction.handling import handle
 from snipejunction.helpers import rendezvous
 from snipejunction.node import Node
+from snipejunction.timers import NEVER
 
 
 def send_hand_over(
@@ -94,9 +95,16 @@
         searcher.latency.mean,
         searcher.latency.high_quantile,
         node.settings.revision,
+        _current_rate_limit(searcher),
     )
 
 
+def _current_rate_limit(searcher: Searcher) -> float:
+    if searcher.boot_id != searcher.announcement.boot_id:
+        return NEVER
+    return searcher.rate_limit.stated
+
+
 def _current_limit(searcher: Searcher) -> float:
     if searcher.boot_id != searcher.announcement.boot_id:
         # The announcement is of a boot that was replaced.
--- a/snipejunction/components/owner/upstream_messages.py
+++ b/snipejunction/components/owner/upstream_messages.py
@@ -121,6 +121,8 @@
 
     ``outcome`` is one of the ``ENDED_`` constants. ``boot_id`` is the one in
     the answer, empty if there was no answer. ``retry_after`` is in seconds.
+    ``stated_limit`` is the request rate that the answer stated, infinite if
+    it stated none and None if there was no answer.
     """
 
     __slots__ = (
@@ -132,6 +134,7 @@
         'retry_after',
         'shards',
         'snapshot',
+        'stated_limit',
     )
 
     def __init__(
@@ -144,6 +147,7 @@
         boot_id: str = '',
         retry_after: float = 0,
         is_truncated: bool = False,
+        stated_limit: float | None = None,
     ) -> None:
         """Create a notice."""
         self.dispatch_id = dispatch_id
@@ -154,3 +158,4 @@
         self.boot_id = boot_id
         self.retry_after = retry_after
         self.is_truncated = is_truncated
+        self.stated_limit = stated_limit
--- a/snipejunction/edge/gateway/searcher_connection.py
+++ b/snipejunction/edge/gateway/searcher_connection.py
@@ -9,7 +9,6 @@
 import httptools
 
 from snipejunction.components.gateway.replies import Outcome, OutcomeKind, Reply
-from snipejunction.components.gateway.stated_limits import parse_limit
 from snipejunction.edge.gateway.const import (
     DEFAULT_IDLE_SECONDS,
     IDLE_MARGIN_SECONDS,
@@ -23,6 +22,7 @@
     end_to_end_headers,
     find_header,
 )
+from snipejunction.helpers.rates import parse_rate
 
 OnOutcome: TypeAlias = Callable[[Outcome], None]
 _MISDIRECTED: Final = 421
@@ -215,9 +215,8 @@
     def _build_outcome(self, status: int) -> Outcome:
         if status == _MISDIRECTED:
             return Outcome(OutcomeKind.MISDIRECTED, detail='another searcher')
-        stated_limit = parse_limit(
-            self._header(self._header_names.stated_limit)
-        )
+        limit_text = self._header(self._header_names.stated_limit)
+        stated_limit = parse_rate(limit_text.decode('latin-1'))
         if self._header(self._header_names.not_run):
             return Outcome(
                 OutcomeKind.SHED,
--- a/snipejunction/edge/upstream_protocol.py
+++ b/snipejunction/edge/upstream_protocol.py
@@ -24,6 +24,7 @@
     DispatchEnded,
     DispatchRequest,
 )
+from snipejunction.helpers.rates import parse_rate
 
 PATH_SEARCH: Final = '/v1/search'
 PATH_RUN: Final = '/v1/run'
@@ -39,6 +40,9 @@
 HEADER_TRUNCATED: Final = 'X-Truncated'
 HEADER_REFUSAL: Final = 'X-Refusal'
 HEADER_RETRY_AFTER: Final = 'X-Retry-After-Ms'
+# Requests per second that the upstream accepts from all hosts together, for as
+# long as its responses state it.
+HEADER_RATE_LIMIT: Final = 'X-Rate-Limit'
 HEADER_TRACE: Final = 'traceparent'
 
 STATUS_OK: Final = 200
@@ -129,6 +133,7 @@
         shards = parse_shards(headers.get(HEADER_SHARDS, ''))
     except ValueError:
         return DispatchEnded(dispatch_id, ENDED_ERROR, boot_id=boot_id)
+    stated_limit = parse_rate(headers.get(HEADER_RATE_LIMIT, ''))
     if status == STATUS_OK:
         return DispatchEnded(
             dispatch_id,
@@ -138,6 +143,7 @@
             shards,
             boot_id,
             is_truncated=headers.get(HEADER_TRUNCATED, '') == '1',
+            stated_limit=stated_limit,
         )
     refusal = headers.get(HEADER_REFUSAL, '')
     is_known = status == STATUS_REFUSED and refusal in REFUSALS
@@ -146,4 +152,5 @@
         refusal if is_known else ENDED_ERROR,
         boot_id=boot_id,
         retry_after=max(0, retry_after) / _MILLISECONDS,
+        stated_limit=stated_limit,
     )
--- a/snipejunction/proof/generate.py
+++ b/snipejunction/proof/generate.py
@@ -6,16 +6,20 @@
 from random import Random
 from typing import Final, TypeAlias
 
+from snipejunction.proof.searcher_faults import (
+    Fault,
+    SEARCHER_FAULTS,
+    outage,
+    pair,
+)
+
 FIRST_FAULT_SECONDS: Final = 9.0
 LAST_FAULT_SECONDS: Final = 24.0
 END_SECONDS: Final = 45
 MAX_FAULTS: Final = 8
-OUTAGE_SECONDS: Final = 4.0
-MAX_SLOWNESS: Final = 40
 MAX_MESS_PERCENT: Final = 20
 
 StillFails: TypeAlias = Callable[[str], bool]
-_Fault: TypeAlias = Callable[[Random, float], list[str]]
 
 _HEADER: Final = """seed {seed}
 hosts 5 in lagos, kano, enugu
@@ -58,31 +62,12 @@
     return float(line.split(' ')[1])
 
 
-def _pair(
-    when: float,
-    outage: float,
-    verb: str,
-    undo: str,
-    name: str,
-) -> list[str]:
-    later = round(when + outage, 2)
-    return [f'at {when} s {verb} {name}', f'at {later} s {undo} {name}']
-
-
 def _host(random: Random) -> str:
     return f'h{random.randint(1, 5)}'
 
 
-def _searcher(random: Random) -> str:
-    return f'catalogue-{random.randint(1, 9)}'
-
-
-def _outage(random: Random) -> float:
-    return random.uniform(0.1, OUTAGE_SECONDS)
-
-
 def _kill(random: Random, when: float) -> list[str]:
-    return _pair(when, _outage(random), 'kill', 'start', _host(random))
+    return pair(when, outage(random), 'kill', 'start', _host(random))
 
 
 def _stop(random: Random, when: float) -> list[str]:
@@ -91,53 +76,32 @@
 
 
 def _isolate(random: Random, when: float) -> list[str]:
-    return _pair(when, _outage(random), 'isolate', 'rejoin', _host(random))
+    return pair(when, outage(random), 'isolate', 'rejoin', _host(random))
 
 
 def _freeze(random: Random, when: float) -> list[str]:
-    seconds = round(_outage(random), 2)
+    seconds = round(outage(random), 2)
     return [f'at {when} s freeze {_host(random)} {seconds}']
 
 
 def _cut(random: Random, when: float) -> list[str]:
     sender, receiver = random.sample(range(1, 6), 2)
     name = f'h{sender} h{receiver}'
-    return _pair(when, _outage(random), 'cut', 'heal', name)
+    return pair(when, outage(random), 'cut', 'heal', name)
 
 
 def _silence(random: Random, when: float) -> list[str]:
     return [f'at {when} s silence {_host(random)}']
 
 
-def _cold(random: Random, when: float) -> list[str]:
-    return [f'at {when} s cold {_searcher(random)}']
-
-
 def _cold_place(random: Random, when: float) -> list[str]:
     place = random.choice(('lagos', 'kano', 'enugu'))
     return [f'at {when} s cold_place {place}']
 
 
-def _shed(random: Random, when: float) -> list[str]:
-    return _pair(when, _outage(random), 'shed', 'unshed', _searcher(random))
-
-
-def _lose(random: Random, when: float) -> list[str]:
-    return [f'at {when} s lose {_searcher(random)}']
-
-
-def _leave(random: Random, when: float) -> list[str]:
-    return [f'at {when} s leave {_searcher(random)}']
-
-
-def _slow(random: Random, when: float) -> list[str]:
-    factor = random.randint(2, MAX_SLOWNESS)
-    return [f'at {when} s slow {_searcher(random)} {factor}']
-
-
 def _drain(random: Random, when: float) -> list[str]:
     place = random.choice(('lagos', 'kano', 'enugu'))
-    return _pair(when, _outage(random), 'drain', 'restore', place)
+    return pair(when, outage(random), 'drain', 'restore', place)
 
 
 def _roll(random: Random, when: float) -> list[str]:
@@ -156,11 +120,12 @@
 def _mess(random: Random, when: float) -> list[str]:
     share = random.randint(1, MAX_MESS_PERCENT)
     verb = random.choice(('double', 'reorder', 'lose_messages'))
-    later = round(when + _outage(random), 2)
+    later = round(when + outage(random), 2)
     return [f'at {when} s {verb} {share} %', f'at {later} s {verb} 0 %']
 
 
-_FAULTS: Final[tuple[_Fault, ...]] = (
+_FAULTS: Final[tuple[Fault, ...]] = (
+    *SEARCHER_FAULTS,
     _kill,
     _kill,
     _stop,
@@ -168,12 +133,7 @@
     _freeze,
     _cut,
     _silence,
-    _cold,
     _cold_place,
-    _shed,
-    _lose,
-    _leave,
-    _slow,
     _drain,
     _roll,
     _repartition,
--- a/snipejunction/proof/verbs.py
+++ b/snipejunction/proof/verbs.py
@@ -72,6 +72,8 @@
         'cold_place': verbs_upstreams.cold_place,
         'shed': verbs_upstreams.shed,
         'unshed': verbs_upstreams.unshed,
+        'limit': verbs_upstreams.limit,
+        'unlimit': verbs_upstreams.unlimit,
         'lose': verbs_upstreams.lose,
         'leave': verbs_upstreams.leave,
         'drain': verbs_settings.drain,
--- a/snipejunction/proof/verbs_upstreams.py
+++ b/snipejunction/proof/verbs_upstreams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from snipejunction.proof.stage import Stage
+from snipejunction.timers import NEVER
 
 
 def silence(stage: Stage, host: str) -> None:
@@ -53,6 +54,20 @@
         upstream.is_shedding = False
 
 
+def limit(stage: Stage, searcher: str, rate: float) -> None:
+    """Let a searcher state a limit in requests per second."""
+    upstream = stage.run.upstream(searcher)
+    if upstream is not None:
+        upstream.stated_rate.replace(rate)
+
+
+def unlimit(stage: Stage, searcher: str) -> None:
+    """Let a searcher state no limit."""
+    upstream = stage.run.upstream(searcher)
+    if upstream is not None:
+        upstream.stated_rate.replace(NEVER)
+
+
 def lose(stage: Stage, searcher: str) -> None:
     """Let a searcher die without a word."""
     stage.run.lose_upstream(searcher)
--- a/snipejunction/standin/limits.py
+++ b/snipejunction/standin/limits.py
@@ -5,12 +5,20 @@
 from collections import Counter
 from typing import Final
 
+from snipejunction.standin.stated_rate import StatedRate
+
 # Kinds of breaches.
 BREACH_SLOTS: Final = 'slots'
 BREACH_CONNECTIONS: Final = 'connections'
 BREACH_COLD: Final = 'cold'
 BREACH_AFTER_LEAVING: Final = 'after_leaving'
 BREACH_REPEATED_RUN: Final = 'doubled_run'
+BREACH_RATE: Final = 'rate'
+
+# Requests in a window above a stated rate that are no breach: several hosts
+# learn of it at different times, and some may be delayed on their way.
+RATE_FACTOR: Final = 1.5
+RATE_MARGIN: Final = 5
 
 # Served requests after which the capacity of a cold searcher grows by one.
 WARM_STEP_REQUESTS: Final = 8
@@ -30,6 +38,7 @@
         'runs',
         'served',
         'slots',
+        'stated_rate',
         'max_running',
     )
 
@@ -47,6 +56,7 @@
         self.runs: Counter[str] = Counter()
         self.served = 0
         self.max_running = 0
+        self.stated_rate = StatedRate(RATE_FACTOR, RATE_MARGIN)
         self.has_failed = False
         self._is_cold = False
         self._cold_served = 0
@@ -71,6 +81,11 @@
         self._cold_served = 0
         self.has_failed = False
 
+    def count_arrival(self, now: float) -> None:
+        """Count a request that the searcher received."""
+        if not self.stated_rate.count_arrival(now):
+            self.breaches[BREACH_RATE] += 1
+
     def start_request(self) -> bool:
         """Count a started request and return whether it is within limits.
 
--- a/snipejunction/standin/searcher.py
+++ b/snipejunction/standin/searcher.py
@@ -25,6 +25,7 @@
 from snipejunction.standin import catalogue
 from snipejunction.standin.behaviour import Behaviour
 from snipejunction.standin.limits import BREACH_AFTER_LEAVING, Limits
+from snipejunction.timers import NEVER
 
 PATH_HEALTH: Final = '/health'
 # Maximum age of the load reported by the health path, in seconds.
@@ -159,10 +160,12 @@
         handler = self._handlers.get(request.path)
         if handler is None:
             return web.Response(status=_NOT_FOUND)
-        refusal = self._check_refusal(request)
-        if refusal is not None:
-            return refusal
-        return await self._async_within_limits(request, handler)
+        self.limits.count_arrival(asyncio.get_running_loop().time())
+        response = self._check_refusal(request)
+        if response is None:
+            response = await self._async_within_limits(request, handler)
+        self._add_stated_rate(response)
+        return response
 
     async def _async_within_limits(
         self,
@@ -196,6 +199,12 @@
         self.last_request_at = asyncio.get_running_loop().time()
         return None
 
+    def _add_stated_rate(self, response: web.Response) -> None:
+        stated_rate = self.limits.stated_rate
+        if stated_rate.rate < NEVER:
+            response.headers[protocol.HEADER_RATE_LIMIT] = str(stated_rate.rate)
+            stated_rate.count_answer(asyncio.get_running_loop().time())
+
     async def _async_search(self, request: web.BaseRequest) -> web.Response:
         body = await request.read()
         try:
--- a/tests/edge/test_upstream_protocol.py
+++ b/tests/edge/test_upstream_protocol.py
@@ -27,6 +27,7 @@
                     protocol.HEADER_SHARDS,
                     protocol.HEADER_REFUSAL,
                     protocol.HEADER_RETRY_AFTER,
+                    protocol.HEADER_RATE_LIMIT,
                 ],
             ),
             st.text(max_size=12),
--- a/tests/edge/test_upstreams.py
+++ b/tests/edge/test_upstreams.py
@@ -38,6 +38,7 @@
 from snipejunction.standin.behaviour import Behaviour
 from snipejunction.standin.limits import Limits
 from snipejunction.standin.searcher import Searcher
+from snipejunction.timers import NEVER
 from tests.edge.support import async_until, in_loop
 
 _MessageT = TypeVar('_MessageT')
@@ -177,6 +178,23 @@
             leaving = await owner.async_wait_ended(3)
             self.assertThat(leaving.outcome, Equals(ENDED_LEAVING))
 
+    @in_loop
+    async def test_stated_limit(self) -> None:
+        """Answers and refusals carry the rate that the upstream states."""
+        async with self.stack:
+            owner, searcher = await self.async_start()
+            owner.dispatch(1)
+            unlimited = await owner.async_wait_ended(1)
+            self.assertThat(unlimited.stated_limit, Equals(NEVER))
+            searcher.limits.stated_rate.replace(2.5)
+            owner.dispatch(2)
+            limited = await owner.async_wait_ended(2)
+            self.assertThat(limited.stated_limit, Equals(2.5))
+            searcher.behaviour.is_shedding = True
+            owner.dispatch(3)
+            shed = await owner.async_wait_ended(3)
+            self.assertThat(shed.stated_limit, Equals(2.5))
+
     @in_loop
     async def test_deadline(self) -> None:
         """The upstream receives the deadline and reports it as exceeded."""
