Use the whole limit that a searcher states

Callers were refused while limited searchers had room: each host got an equal share of the limit less a quarter request per second for each host, and of searchers that state less than one request per second for each host half at least stayed unused.

Cause: a bucket of one token lets pass one request more than its rate in a window, so the rates were reduced by it; it also loses the time in which it is full.

Change: each host gets whole requests of each 4 s, the first ones in the common order one more, so that the shares add up to the limit exactly. A log of its sends keeps a host to its share in any 4 s; two sends are at least half the mean time apart. The owner uses the same.

The new test fails without the change.

--- a/snipejunction/components/gateway/stated_limits.py
+++ b/snipejunction/components/gateway/stated_limits.py
@@ -1,10 +1,8 @@
 """Request rates that searchers state for all hosts together.
 
 Rates are in requests per second; ``NEVER`` stands for no limit. Each host that
-is advertised to callers may send its share, from a bucket of one token that
-starts empty. If the rate is below one request per second for each host, only
-the first hosts in a common order send, so that the full buckets of all of
-them together stay small compared with the limit.
+is advertised to callers may send its share. If a limit allows fewer requests
+in a window than there are hosts, only the first hosts in a common order send.
 """
 
 from __future__ import annotations
@@ -27,7 +25,12 @@
     LimitRecord,
     LimitUpdate,
 )
-from snipejunction.helpers.rates import MIN_LIMIT_SHARE, rate_of_each
+from snipejunction.helpers.rates import (
+    NO_SHARE,
+    RateShare,
+    requests_per_window,
+    share_of_host,
+)
 from snipejunction.timers import NEVER
 
 _OWN_ANSWER: Final = 'its answer'
@@ -61,7 +64,7 @@
         )
         return
     is_changed = rate != upstream.stated_limit
-    yield from _apply_limit(upstream, rate, _OWN_ANSWER, now)
+    yield from _apply_limit(upstream, rate, _OWN_ANSWER, table, now)
     if is_changed:
         yield ReportLimits([_limit_record(upstream)])
     elif rate < NEVER:
@@ -76,7 +79,9 @@
         upstream = table.upstreams.get(record.searcher_id)
         if upstream is None or upstream.record.born_ms != record.born_ms:
             continue
-        yield from _apply_limit(upstream, record.rate, message.sender, now)
+        yield from _apply_limit(
+            upstream, record.rate, message.sender, table, now
+        )
 
 
 def pop_unreported(table: GatewayTable) -> list[LimitRecord]:
@@ -92,17 +97,17 @@
 
 
 def may_send(upstream: Upstream, table: GatewayTable, now: float) -> bool:
-    """Return whether this host has a token for a searcher."""
+    """Return whether this host may send a request to a searcher."""
     if upstream.stated_limit == NEVER:
         return True
-    return upstream.allowance.has_token(_share(upstream, table, now), now)
+    return upstream.allowance.may_send(_share(upstream, table, now), now)
 
 
 def count_attempt(upstream: Upstream, table: GatewayTable, now: float) -> None:
-    """Take the token of an attempt that is sent now."""
+    """Count an attempt that is sent now."""
     if upstream.stated_limit < NEVER:
         table.sharing.attempts += 1
-        upstream.allowance.take_token(_share(upstream, table, now), now)
+        upstream.allowance.count(now)
 
 
 def describe_limits(
@@ -117,14 +122,19 @@
 
 
 def _apply_limit(
-    upstream: Upstream, rate: float, source: str, now: float
+    upstream: Upstream,
+    rate: float,
+    source: str,
+    table: GatewayTable,
+    now: float,
 ) -> Iterator[Command]:
     upstream.allowance.confirmed_at = now
     if rate == upstream.stated_limit:
         return
-    if upstream.stated_limit == NEVER:
-        upstream.allowance.empty(now)
+    is_new = upstream.stated_limit == NEVER
     upstream.stated_limit = rate
+    if is_new:
+        upstream.allowance.fill(_share(upstream, table, now), now)
     fields = {
         'searcher': upstream.searcher_id,
         'service': upstream.record.service,
@@ -142,32 +152,24 @@
     )
 
 
-def _share(upstream: Upstream, table: GatewayTable, now: float) -> float:
-    """Return the rate at which this host may send to a searcher."""
+def _share(upstream: Upstream, table: GatewayTable, now: float) -> RateShare:
+    """Return what this host may send to a searcher that states a limit."""
     sharing = table.sharing
     table.drop_departed_hosts(now)
     limit = upstream.stated_limit
     if not sharing.has_share or limit <= 0:
-        return 0
-    senders = max(1, min(sharing.host_count, int(limit)))
-    if senders < sharing.host_count:
-        record = upstream.record
-        key = table.sharing_key(record.service, upstream.searcher_id)
-        position = sharing.position(key, record.data_centre)
-        if not _is_sender(position - senders, upstream, now):
-            return 0
-    return rate_of_each(limit, senders)
-
-
-def _is_sender(surplus: int, upstream: Upstream, now: float) -> bool:
-    """Return whether the host ``surplus`` positions behind the last sender is.
-
-    If no host confirmed a limit for a while, the next ones send in turn: the
-    senders may be lost or have no requests.
-    """
-    if surplus < 0:
-        return True
-    # Time between two requests of one sender, and so between confirmations.
-    interval = max(1.0, 1 / (upstream.stated_limit * MIN_LIMIT_SHARE))
-    turn = UNCONFIRMED_LIMIT_SECONDS + (surplus + 1) * interval
-    return now >= upstream.allowance.confirmed_at + turn
+        return NO_SHARE
+    record = upstream.record
+    key = table.sharing_key(record.service, upstream.searcher_id)
+    position = sharing.position(key, record.data_centre)
+    share = share_of_host(limit, sharing.host_count, position)
+    if share.requests:
+        return share
+    senders = max(1, requests_per_window(limit))
+    last_share = share_of_host(limit, sharing.host_count, senders - 1)
+    turn = (position - senders + 1) * last_share.interval
+    # If no host confirms the limit, the senders may be lost or have no
+    # requests; the next hosts send in turn.
+    unconfirmed = now - upstream.allowance.confirmed_at
+    is_due = unconfirmed >= UNCONFIRMED_LIMIT_SECONDS + turn
+    return last_share if is_due else NO_SHARE
--- a/snipejunction/components/gateway/upstreams.py
+++ b/snipejunction/components/gateway/upstreams.py
@@ -14,14 +14,14 @@
 from snipejunction.components.registration.const import GONE
 from snipejunction.components.registration.messages import SearcherRecord
 from snipejunction.components.registration.searcher_status import SearcherStatus
-from snipejunction.helpers.rates import TokenBucket
+from snipejunction.helpers.rates import SendLog
 from snipejunction.timers import NEVER
 
 _HALF = 0.5
 
 
-class Allowance(TokenBucket):
-    """This host's share of the limit that a searcher states.
+class Allowance(SendLog):
+    """What this host sent of its share of the limit that a searcher states.
 
     ``confirmed_at`` is when a host last got the limit from the searcher, in
     monotonic seconds.
@@ -30,8 +30,8 @@
     __slots__ = ('confirmed_at',)
 
     def __init__(self, now: float) -> None:
-        """Create an empty bucket."""
-        super().__init__(now)
+        """Create an empty log."""
+        super().__init__()
         self.confirmed_at = now
 
 
--- a/snipejunction/components/owner/searcher.py
+++ b/snipejunction/components/owner/searcher.py
@@ -19,7 +19,7 @@
 from snipejunction.components.owner.pool import Connection, ConnectionPool
 from snipejunction.components.owner.warmth import Warmth
 from snipejunction.components.owner.work import Work
-from snipejunction.helpers.rates import TokenBucket, rate_of_each
+from snipejunction.helpers.rates import NO_SHARE, SendLog, share_of_host
 from snipejunction.timers import NEVER
 
 _MAX_REPLACED_BOOTS: Final = 8
@@ -145,31 +145,35 @@
     ``stated`` is in requests per second, ``NEVER`` if it states none.
     """
 
-    __slots__ = ('_bucket', 'stated')
+    __slots__ = ('_log', '_share', 'stated')
 
     def __init__(self) -> None:
         """Create the state of a searcher that states no limit."""
-        self._bucket = TokenBucket(0)
+        self._log = SendLog()
+        self._share = NO_SHARE
         self.stated = NEVER
 
     def replace(self, stated: float, now: float) -> bool:
         """Replace the stated rate; return whether it changed."""
         if stated == self.stated:
             return False
-        if self.stated == NEVER:
-            self._bucket.empty(now)
+        is_new = self.stated == NEVER
         self.stated = stated
+        if stated < NEVER:
+            self._share = share_of_host(stated, 1, 0) if stated else NO_SHARE
+            if is_new:
+                self._log.fill(self._share, now)
         return True
 
     def wait(self, ahead: int, now: float) -> float:
         """Return the seconds until a request behind ``ahead`` may be sent."""
         if self.stated == NEVER:
             return 0
-        return self._bucket.wait(rate_of_each(self.stated, 1), ahead + 1, now)
+        return self._log.wait(self._share, ahead, now)
 
     def count_request(self, now: float) -> None:
         """Count a request that is sent while a rate is stated."""
-        self._bucket.take_token(rate_of_each(self.stated, 1), now)
+        self._log.count(now)
 
 
 class Searcher:
--- a/snipejunction/helpers/rates.py
+++ b/snipejunction/helpers/rates.py
@@ -1,11 +1,13 @@
-"""Request rates that upstreams state, and token buckets that keep to them.
+"""Request rates that upstreams state, and what hosts may send under them.
 
-Rates are in requests per second; ``NEVER`` stands for no limit.
+Rates are in requests per second; ``NEVER`` stands for no limit. Times are
+monotonic seconds.
 """
 
 from __future__ import annotations
 
 import math
+from collections import deque
 from typing import Final
 
 from snipejunction.timers import NEVER
@@ -13,12 +15,30 @@
 # Window in which the requests of all hosts to an upstream stay within the
 # limit that it states, in seconds.
 LIMIT_WINDOW_SECONDS: Final = 4.0
-# Lower bound of the used share of a limit: below half a request per second one
-# token is more than the limit allows in a window.
-MIN_LIMIT_SHARE: Final = 0.5
-# Rounding errors of a bucket that is refilled often, in tokens: at the time
-# that ``wait`` named, the token is there.
-_TOKEN_ERROR: Final = 1e-6
+# Least time between two requests of a host, as a share of the mean time: the
+# upstream does not get what a window allows at once.
+MIN_SPACING_SHARE: Final = 0.5
+# Rounding errors of rates, in requests, and of times, in seconds.
+_ROUNDING_ERROR: Final = 1e-6
+
+
+class RateShare:
+    """What one host may send: ``requests`` in any span of ``seconds``."""
+
+    __slots__ = ('requests', 'seconds')
+
+    def __init__(self, requests: int, seconds: float) -> None:
+        """Create a share."""
+        self.requests = requests
+        self.seconds = seconds
+
+    @property
+    def interval(self) -> float:
+        """Return the mean time between two requests, in seconds."""
+        return self.seconds / self.requests if self.requests else NEVER
+
+
+NO_SHARE: Final = RateShare(0, LIMIT_WINDOW_SECONDS)
 
 
 def parse_rate(text: str) -> float:
@@ -35,49 +55,63 @@
     return rate if 0 <= rate < NEVER else math.nan
 
 
-def rate_of_each(limit: float, senders: int) -> float:
-    """Return the rate at which each of some hosts may send under a limit.
+def requests_per_window(limit: float) -> int:
+    """Return the whole requests that a limit allows in each window."""
+    return int(limit * LIMIT_WINDOW_SECONDS + _ROUNDING_ERROR)
+
+
+def share_of_host(limit: float, hosts: int, position: int) -> RateShare:
+    """Return what one of some hosts may send under a limit above zero.
 
-    The rates of all of them and their full buckets of one token add up to the
-    limit in ``LIMIT_WINDOW_SECONDS``.
+    Each host gets whole requests of a window; the first ones get the rest. If
+    the limit allows less than one request in a window, only the host at
+    position 0 sends.
     """
-    total = limit - senders / LIMIT_WINDOW_SECONDS
-    return max(total, limit * MIN_LIMIT_SHARE) / senders
-
-
-class TokenBucket:
-    """Bucket of one token; times are monotonic seconds."""
-
-    __slots__ = ('_filled_at', '_tokens')
-
-    def __init__(self, now: float) -> None:
-        """Create an empty bucket."""
-        self._tokens = 0.0
-        self._filled_at = now
-
-    def empty(self, now: float) -> None:
-        """Empty the bucket."""
-        self._tokens = 0
-        self._filled_at = now
-
-    def has_token(self, rate: float, now: float) -> bool:
-        """Fill the bucket by ``rate`` per second; return whether it is full."""
-        self._fill(rate, now)
-        return rate > 0 and self._tokens >= 1 - _TOKEN_ERROR
-
-    def take_token(self, rate: float, now: float) -> None:
-        """Take a token, even if the bucket holds less."""
-        self._fill(rate, now)
-        self._tokens -= 1
-
-    def wait(self, rate: float, tokens: int, now: float) -> float:
-        """Return the seconds until ``tokens`` more can have been taken."""
-        self._fill(rate, now)
-        if self._tokens >= tokens - _TOKEN_ERROR:
-            return 0
-        return (tokens - self._tokens) / rate if rate > 0 else NEVER
-
-    def _fill(self, rate: float, now: float) -> None:
-        filled = self._tokens + rate * (now - self._filled_at)
-        self._tokens = min(1.0, filled)
-        self._filled_at = now
+    requests = requests_per_window(limit)
+    if not requests:
+        return NO_SHARE if position else RateShare(1, 1 / limit)
+    share, rest = divmod(requests, hosts)
+    return RateShare(share + (position < rest), LIMIT_WINDOW_SECONDS)
+
+
+class SendLog:
+    """Times of the requests that one host sent under a limit."""
+
+    __slots__ = ('_sent_at',)
+
+    def __init__(self) -> None:
+        """Create an empty log."""
+        self._sent_at: deque[float] = deque()
+
+    def fill(self, share: RateShare, now: float) -> None:
+        """Replace the log by one of a host that has used its share evenly."""
+        self._sent_at = deque(
+            now - share.seconds + number * share.interval
+            for number in range(1, share.requests + 1)
+        )
+
+    def count(self, now: float) -> None:
+        """Count a request that is sent now."""
+        self._sent_at.append(now)
+
+    def wait(self, share: RateShare, ahead: int, now: float) -> float:
+        """Return the seconds until a request behind ``ahead`` may be sent."""
+        if not share.requests:
+            return NEVER
+        sent_at = self._sent_at
+        while sent_at and now >= sent_at[0] + share.seconds - _ROUNDING_ERROR:
+            sent_at.popleft()
+        spacing = share.interval * MIN_SPACING_SHARE
+        due = now + ahead * spacing
+        if sent_at:
+            due = max(due, sent_at[-1] + (ahead + 1) * spacing)
+        excess = len(sent_at) + ahead - share.requests
+        if excess >= 0:
+            rounds, oldest = divmod(excess, share.requests)
+            start = sent_at[oldest] if oldest < len(sent_at) else now
+            due = max(due, start + (rounds + 1) * share.seconds)
+        return due - now if due > now + _ROUNDING_ERROR else 0
+
+    def may_send(self, share: RateShare, now: float) -> bool:
+        """Return whether a request may be sent now."""
+        return self.wait(share, 0, now) == 0
--- a/tests/components/gateway/test_stated_limits.py
+++ b/tests/components/gateway/test_stated_limits.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from testtools import TestCase
-from testtools.matchers import Equals, LessThan
+from testtools.matchers import Equals, GreaterThan, LessThan
 
 from tests.components.gateway.fleet import Fleet
 
@@ -47,3 +47,18 @@
         }
         fleet.send_requests(60, 20)
         self.assert_within_limits(fleet, LEARN_SECONDS)
+
+
+class CallersAreRefusedBelowTheLimitTest(TestCase):
+    """What searchers state is used while there is demand for it."""
+
+    def test_most_of_the_limit_is_used(self) -> None:
+        """Requests are refused only above what all searchers state."""
+        for limit in (1.0, 6.0, 13.6, 20.0):
+            fleet = Fleet(9, ('a', 'b', 'c'), 1)
+            fleet.limits = {f's-{name}': limit for name in 'abc'}
+            fleet.send_requests(90, 30)
+            for searcher in fleet.limits:
+                arrivals = fleet.arrivals[searcher]
+                used = sum(when >= 10 for when in arrivals) / 20
+                self.assertThat(used, GreaterThan(0.9 * limit))
--- a/tests/helpers/test_rates.py
+++ b/tests/helpers/test_rates.py
@@ -1,4 +1,4 @@
-"""Tests of stated request rates and token buckets."""
+"""Tests of stated request rates and the shares of hosts."""
 
 from __future__ import annotations
 
@@ -11,9 +11,12 @@
 
 from snipejunction.helpers.rates import (
     LIMIT_WINDOW_SECONDS,
-    TokenBucket,
+    NO_SHARE,
+    RateShare,
+    SendLog,
     parse_rate,
-    rate_of_each,
+    requests_per_window,
+    share_of_host,
 )
 from snipejunction.timers import NEVER
 
@@ -33,37 +36,83 @@
             self.assertTrue(math.isnan(parse_rate(text)), text)
 
 
-class TokenBucketTest(TestCase):
-    """Requests that the buckets of all hosts let pass together."""
+class ShareTest(TestCase):
+    """What each host may send under a limit."""
 
-    @given(st.floats(0.3, 200), st.integers(1, 60), st.floats(0, 1))
-    def test_window(self, limit: float, hosts: int, start: float) -> None:
-        """All hosts together send at most what the limit allows."""
-        senders = max(1, min(hosts, int(limit)))
-        rate = rate_of_each(limit, senders)
-        bucket = TokenBucket(0)
-        now = 10 + start
-        end = now + LIMIT_WINDOW_SECONDS
+    @given(st.floats(0.25, 200), st.integers(1, 100))
+    def test_whole_limit_is_shared(self, limit: float, hosts: int) -> None:
+        """The shares of all hosts add up to the limit, but for a fraction."""
+        total = sum(
+            share_of_host(limit, hosts, position).requests
+            for position in range(hosts)
+        )
+        self.assertThat(total, Equals(requests_per_window(limit)))
+
+    def test_below_one_request_per_window(self) -> None:
+        """Only the first host sends, at the rate of the limit."""
+        shares = [share_of_host(0.1, 3, position) for position in range(3)]
+        requests = [share.requests for share in shares]
+        self.assertThat(requests, Equals([1, 0, 0]))
+        self.assertThat(shares[0].seconds, Equals(10))
+
+
+class SendLogTest(TestCase):
+    """Requests that a host sends under its share."""
+
+    @given(
+        st.integers(1, 30),
+        st.lists(st.floats(0, 2), min_size=20, max_size=200),
+    )
+    def test_any_window(self, requests: int, gaps: list[float]) -> None:
+        """No window holds more than the share, whenever requests come."""
+        share = RateShare(requests, LIMIT_WINDOW_SECONDS)
+        log = SendLog()
+        log.fill(share, 100)
+        sent: list[float] = []
+        now = 100.0
+        for gap in gaps:
+            now += gap
+            if log.may_send(share, now):
+                log.count(now)
+                sent.append(now)
+        for start in sent:
+            end = start + LIMIT_WINDOW_SECONDS - 0.001
+            in_window = sum(start <= when < end for when in sent)
+            self.assertThat(in_window, LessThan(requests + 1))
+
+    @given(st.integers(1, 50), st.integers(0, 60), st.floats(0, 1e6))
+    def test_wait_ends(self, requests: int, ahead: int, now: float) -> None:
+        """After the time to wait, a request may be sent."""
+        share = RateShare(requests, LIMIT_WINDOW_SECONDS)
+        log = SendLog()
+        log.fill(share, now)
+        for _ in range(ahead + 1):
+            now += log.wait(share, 0, now)
+            self.assertTrue(log.may_send(share, now))
+            log.count(now)
+
+    def test_share_is_used(self) -> None:
+        """A host with enough requests sends all that its share allows."""
+        share = RateShare(8, LIMIT_WINDOW_SECONDS)
+        log = SendLog()
         sent = 0
-        while now < end:
-            wait = bucket.wait(rate, 1, now)
-            if wait == 0:
-                bucket.take_token(rate, now)
+        for step in range(4000):
+            now = step / 100
+            if log.may_send(share, now):
+                log.count(now)
                 sent += 1
-            now += max(wait, 0.001)
-        allowed = max(limit * LIMIT_WINDOW_SECONDS, 1 + 2 * limit)
-        self.assertThat(sent * senders, LessThan(allowed + senders * 0.01 + 1))
-
-    @given(st.floats(0.01, 500), st.floats(0, 1e6))
-    def test_wait_ends(self, rate: float, now: float) -> None:
-        """After the time to wait, the token is there."""
-        bucket = TokenBucket(now)
-        due = now + bucket.wait(rate, 1, now)
-        self.assertThat(bucket.wait(rate, 1, due), Equals(0))
-        self.assertTrue(bucket.has_token(rate, due))
-
-    def test_rate_of_zero(self) -> None:
-        """A rate of zero lets nothing pass."""
-        bucket = TokenBucket(0)
-        self.assertFalse(bucket.has_token(0, 1000))
-        self.assertThat(bucket.wait(0, 1, 1000), Equals(NEVER))
+        self.assertThat(sent, Equals(80))
+
+    def test_spacing(self) -> None:
+        """What a window allows is not sent at once."""
+        share = RateShare(8, LIMIT_WINDOW_SECONDS)
+        log = SendLog()
+        log.count(0)
+        self.assertThat(log.wait(share, 0, 0.1), Equals(0.15))
+        self.assertThat(log.wait(share, 3, 0.1), Equals(0.9))
+
+    def test_no_share(self) -> None:
+        """A host without a share sends nothing."""
+        log = SendLog()
+        self.assertFalse(log.may_send(NO_SHARE, 1000))
+        self.assertThat(log.wait(NO_SHARE, 1, 1000), Equals(NEVER))
