Keep a stated limit through failures and answers of earlier requests

A limit counted as lifted with any answer that did not name it: also with the answer to a request that was sent before the limit came, and with a failure. All hosts then sent at full rate until the next answer named it again.

Change: only a valid answer to a request that was sent since the limit is known lifts it.

--- a/snipejunction/components/gateway/relayed.py
+++ b/snipejunction/components/gateway/relayed.py
@@ -118,7 +118,9 @@
         upstream = self._in_flight.pop(position)
         upstream.in_flight -= 1
         upstream.record_outcome(outcome, now)
-        yield from record_limit(upstream, outcome, self._table, now)
+        yield from record_limit(
+            upstream, outcome, self._started, self._table, now
+        )
         self._add_report(position, outcome, now - self._started)
         if not self._in_flight:
             yield from self._send_response(now)
--- a/snipejunction/components/gateway/run.py
+++ b/snipejunction/components/gateway/run.py
@@ -189,7 +189,9 @@
         if outcome.kind.may_have_arrived:
             part.possible_deliveries += 1
         self._record_outcome(attempt, outcome, now)
-        yield from record_limit(attempt.upstream, outcome, self._table, now)
+        yield from record_limit(
+            attempt.upstream, outcome, attempt.sent_at, self._table, now
+        )
         reply = outcome.valid_reply
         if reply is None:
             left = self.deadline - now
--- a/snipejunction/components/gateway/stated_limits.py
+++ b/snipejunction/components/gateway/stated_limits.py
@@ -49,13 +49,19 @@
 def record_limit(
     upstream: Upstream,
     outcome: Outcome,
+    sent_at: float,
     table: GatewayTable,
     now: float,
 ) -> Iterator[Command]:
-    """Record the rate that a searcher stated with an answer; report changes."""
+    """Record the rate that a searcher stated with an answer; report changes.
+
+    ``sent_at`` is when the request was sent.
+    """
     rate = outcome.stated_limit
     if rate is None:
         return
+    if rate == NEVER and not _lifts_limit(upstream, outcome, sent_at):
+        return
     if math.isnan(rate):
         yield LogEvent(
             EVENT_LIMIT_UNREADABLE,
@@ -121,6 +127,18 @@
     ]
 
 
+def _lifts_limit(upstream: Upstream, outcome: Outcome, sent_at: float) -> bool:
+    """Return whether an answer without a limit means that there is none.
+
+    The answer to a request that was sent before the limit was known may be
+    older than the limit, and a failure need not come from the searcher's
+    normal handling of requests.
+    """
+    if sent_at < upstream.allowance.limited_since:
+        return False
+    return outcome.valid_reply is not None
+
+
 def _apply_limit(
     upstream: Upstream,
     rate: float,
@@ -134,6 +152,7 @@
     is_new = upstream.stated_limit == NEVER
     upstream.stated_limit = rate
     if is_new:
+        upstream.allowance.limited_since = now
         upstream.allowance.fill(_share(upstream, table, now), now)
     fields = {
         'searcher': upstream.searcher_id,
--- a/snipejunction/components/gateway/upstreams.py
+++ b/snipejunction/components/gateway/upstreams.py
@@ -23,16 +23,18 @@
 class Allowance(SendLog):
     """What this host sent of its share of the limit that a searcher states.
 
-    ``confirmed_at`` is when a host last got the limit from the searcher, in
+    ``confirmed_at`` is when a host last got the limit from the searcher,
+    ``limited_since`` when this host learned that it states one; both are in
     monotonic seconds.
     """
 
-    __slots__ = ('confirmed_at',)
+    __slots__ = ('confirmed_at', 'limited_since')
 
     def __init__(self, now: float) -> None:
         """Create an empty log."""
         super().__init__()
         self.confirmed_at = now
+        self.limited_since = now
 
 
 class Upstream(SearcherStatus):
--- a/tests/components/gateway/fleet.py
+++ b/tests/components/gateway/fleet.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Iterable
 from random import Random
 
-from snipejunction.commands import Command, LogEvent
+from snipejunction.commands import Command, EventKind, LogEvent
 from snipejunction.components.deployment.messages import (
     EntryRecord,
     HostsUpdate,
@@ -34,7 +34,9 @@
     report_searchers,
 )
 
-ANSWER_SECONDS = 0.02
+MIN_ANSWER_SECONDS = 0.005
+MAX_ANSWER_SECONDS = 0.1
+FAILURE_SHARE = 0.5
 HOSTS_PER_CENTRE = 3
 # From one host through a control host to another.
 REPORT_SECONDS = 0.02
@@ -43,8 +45,9 @@
 class Fleet:
     """Entry hosts that send callers' requests to searchers.
 
-    ``limits`` maps searchers to the rates that they state; ``arrivals`` holds
-    when each searcher received requests.
+    ``limits`` maps searchers to the rates that they state; some
+    answers of those in ``failing`` are failures without a rate. ``arrivals``
+    holds when each searcher received requests.
     """
 
     def __init__(
@@ -56,6 +59,7 @@
     ) -> None:
         self.now = 0.0
         self.limits: dict[str, float] = {}
+        self.failing: set[str] = set()
         self.arrivals: dict[str, list[float]] = {}
         self.statuses: Counter[int] = Counter()
         self.refusal_seconds: list[float] = []
@@ -124,16 +128,17 @@
         """Let a searcher receive an attempt and answer it."""
         searcher = attempt.upstream.searcher_id
         self.arrivals.setdefault(searcher, []).append(self.now)
-        outcome = Outcome(
-            OutcomeKind.ANSWERED,
-            Reply(200, [], b'', f'sig-{searcher}'),
-            stated_limit=self.limits.get(searcher, NEVER),
-        )
+        outcome = self._answer(searcher)
         self._schedule(
-            self.now + ANSWER_SECONDS,
+            self.now
+            + self._random.uniform(MIN_ANSWER_SECONDS, MAX_ANSWER_SECONDS),
             lambda: request.finish_attempt(attempt, outcome),
         )
 
+    def count_events(self, kind: EventKind) -> int:
+        """Return how many events of a kind all hosts wrote."""
+        return sum(event.event is kind for event in self.events)
+
     def schedule_advance(self, when: float, action: Callable[[], None]) -> None:
         """Run the next step of a request."""
         self._schedule(when, action)
@@ -146,6 +151,18 @@
             self.now + REPORT_SECONDS, lambda: self._apply_limits(update)
         )
 
+    def _answer(self, searcher: str) -> Outcome:
+        is_failure = searcher in self.failing and (
+            self._random.random() < FAILURE_SHARE
+        )
+        return Outcome(
+            OutcomeKind.ANSWERED,
+            Reply(500 if is_failure else 200, [], b'', f'sig-{searcher}'),
+            stated_limit=(
+                NEVER if is_failure else self.limits.get(searcher, NEVER)
+            ),
+        )
+
     def _schedule(self, when: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._heap, (when, next(self._numbers), action))
 
--- a/tests/components/gateway/test_stated_limits.py
+++ b/tests/components/gateway/test_stated_limits.py
@@ -5,6 +5,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan, LessThan
 
+from snipejunction.components.gateway.const import EVENT_LIMIT_LIFTED
 from tests.components.gateway.fleet import Fleet
 
 # Hosts may send this long above a limit that they have just learned of.
@@ -31,6 +32,28 @@
             self.assert_within_limits(fleet, LEARN_SECONDS)
             self.assertThat(fleet.statuses[503], Equals(0))
 
+    def test_answers_to_earlier_requests_lift_no_limit(self) -> None:
+        """Answers that were under way when a limit came say nothing of it."""
+        for seed in range(4):
+            fleet = Fleet(9, ('a', 'b', 'c'), seed)
+            fleet.send_requests(200, 5)
+            fleet.limits = {'s-a': 15.0, 's-b': 18.3}
+            fleet.send_requests(200, 15)
+            self.assert_within_limits(fleet, 5 + LEARN_SECONDS)
+            self.assertThat(fleet.count_events(EVENT_LIMIT_LIFTED), Equals(0))
+            fleet.limits = {}
+            fleet.send_requests(90, 5)
+            self.assertThat(fleet.count_events(EVENT_LIMIT_LIFTED), Equals(18))
+
+    def test_failures_lift_no_limit(self) -> None:
+        """A searcher that fails without a word of its limit keeps it."""
+        fleet = Fleet(9, ('a', 'b', 'c'), 2)
+        fleet.limits = {'s-a': 15.0}
+        fleet.failing = {'s-a'}
+        fleet.send_requests(90, 20)
+        self.assert_within_limits(fleet, LEARN_SECONDS)
+        self.assertThat(fleet.count_events(EVENT_LIMIT_LIFTED), Equals(0))
+
     def test_limit_far_below_one_request_per_host(self) -> None:
         """Many hosts together keep to a few requests per second or less."""
         for limit in (0.2, 0.5, 1.0, 2.5, 6.0):
