--- a/tests/components/gateway/test_relayed.py
+++ b/tests/components/gateway/test_relayed.py
@@ -43,9 +43,11 @@
         for shard in SHARDS:
             report_searchers(self.table, make_record(f'{shard}-a', shard))
 
-    def start_call(self) -> None:
+    def start_call(self, limited: list[int] | None = None) -> None:
         searchers = [f'{shard}-a' for shard in SHARDS]
-        request = PartsRequest(5, 'id', b'', b'', searchers, 2, 1, 0.05, [])
+        request = PartsRequest(
+            5, 'id', b'', b'', searchers, 2, 1, 0.05, limited or []
+        )
         request.sender = 'asker'
         self.call = RelayedCall(request, self.table, 10)
         self.responses: list[PartsResponse] = []
@@ -140,3 +142,26 @@
         self.assertThat(upstream.in_flight, Equals(1))
         self.handle_outcome(0, answered(b''), 10.01)
         self.assertThat(upstream.in_flight, Equals(0))
+
+    def test_caller_host_does_not_know_the_limit(self) -> None:
+        """A part beyond a limit is held back, and the limit reported."""
+        self.table.upstreams['s1-a'].stated_limit = 3.0
+        self.start_call()
+        self.assertThat(
+            [part.position for part in self.sent_parts], Equals([0, 2])
+        )
+        for position in (0, 2):
+            self.handle_outcome(position, answered(b''), 10.01)
+        held = [
+            report
+            for report in self.responses[0].reports
+            if report.position == 1
+        ]
+        self.assertThat(held[0].fate, Equals(OutcomeKind.UNSENT.value))
+        self.assertThat(held[0].stated_limit, Equals(3))
+
+    def test_caller_host_observes_the_limit(self) -> None:
+        """A part within the caller's share is sent."""
+        self.table.upstreams['s1-a'].stated_limit = 3.0
+        self.start_call(limited=[1])
+        self.assertThat(self.sent_parts, HasLength(3))
--- a/tests/edge/gateway/test_searcher_pool.py
+++ b/tests/edge/gateway/test_searcher_pool.py
@@ -14,6 +14,7 @@
     PendingRequest,
     SearcherPool,
 )
+from snipejunction.timers import NEVER
 from tests.components.gateway.stage import make_record
 from tests.edge.gateway.scripted import (
     HEADER_NAMES,
@@ -53,6 +54,18 @@
     received.writer.write(content)
 
 
+async def async_limited(received: ReceivedRequest) -> None:
+    """State a limit with an answer and with a refusal."""
+    limit = ('X-Limit: 2.5',)
+    if received.request_id == 'r1':
+        received.writer.write(answer('r1', extra=limit))
+        return
+    refusal = (*limit, 'X-Not-Run: 1')
+    received.writer.write(
+        answer(received.request_id, b'', '503 Full', extra=refusal)
+    )
+
+
 async def async_misdirected(received: ReceivedRequest) -> None:
     """Answer 421, as another searcher does."""
     content = answer(received.request_id, b'', '421 Misdirected')
@@ -192,6 +205,18 @@
             self.assertThat(failed.kind, Is(OutcomeKind.ANSWERED))
             self.assertThat(failed.reply.status, Equals(503))
 
+    @in_loop
+    async def test_stated_limit(self) -> None:
+        """Answers and refusals tell the limit; without one there is none."""
+        async with AsyncExitStack() as stack:
+            caller = await self.async_open(stack, async_limited)
+            for request_id in ('r1', 'r2'):
+                outcome = await caller.send(request_id)
+                self.assertThat(outcome.stated_limit, Equals(2.5))
+            other = await self.async_open(stack, async_answer)
+            outcome = await other.send()
+            self.assertThat(outcome.stated_limit, Equals(NEVER))
+
     @in_loop
     async def test_misdirected(self) -> None:
         """Status 421 means that another searcher has the address."""
