Let hosts start their shares of a new limit in turn; ignore reports that are older than what is known

And after a limit was lifted, answers under way and reports of other hosts brought it back.

Change: the first request of each host is due after its part of an interval, by its position. A report tells the age of the answer behind it, and an older one changes nothing; the answer to a request that was sent before the last change may only lower a limit.

--- a/snipejunction/components/gateway/limit_sharing.py
+++ b/snipejunction/components/gateway/limit_sharing.py
@@ -17,9 +17,9 @@
     monotonic seconds.
 
     ``attempts`` counts the attempts sent to searchers that state a limit and
-    ``refusals`` the requests refused because of limits. ``unreported`` holds
+    ``refusals`` the requests refused because of limits. ``unreported`` maps
     the ids of searchers that confirmed their limit to this host since its
-    last report.
+    last report to when they did.
     """
 
     __slots__ = (
@@ -40,7 +40,7 @@
         self._positions: dict[tuple[str, str], int] = {}
         self.attempts = 0
         self.refusals = 0
-        self.unreported: dict[str, None] = {}
+        self.unreported: dict[str, float] = {}
 
     @property
     def host_count(self) -> int:
--- a/snipejunction/components/gateway/stated_limits.py
+++ b/snipejunction/components/gateway/stated_limits.py
@@ -60,7 +60,8 @@
     rate = outcome.stated_limit
     if rate is None:
         return
-    if rate == NEVER and not _lifts_limit(upstream, outcome, sent_at):
+    if rate == NEVER and outcome.valid_reply is None:
+        # A failure need not come from the normal handling of requests.
         return
     if math.isnan(rate):
         yield LogEvent(
@@ -69,12 +70,14 @@
             service=upstream.record.service,
         )
         return
+    if _may_be_outdated(upstream, rate, sent_at):
+        return
     is_changed = rate != upstream.stated_limit
     yield from _apply_limit(upstream, rate, _OWN_ANSWER, table, now)
     if is_changed:
-        yield ReportLimits([_limit_record(upstream)])
+        yield ReportLimits([_limit_record(upstream, 0)])
     elif rate < NEVER:
-        table.sharing.unreported[upstream.searcher_id] = None
+        table.sharing.unreported[upstream.searcher_id] = now
 
 
 def apply_limit_update(
@@ -85,21 +88,23 @@
         upstream = table.upstreams.get(record.searcher_id)
         if upstream is None or upstream.record.born_ms != record.born_ms:
             continue
+        if now - record.age < upstream.allowance.changed_at:
+            # The answer is older than what is known.
+            continue
         yield from _apply_limit(
             upstream, record.rate, message.sender, table, now
         )
 
 
-def pop_unreported(table: GatewayTable) -> list[LimitRecord]:
+def pop_unreported(table: GatewayTable, now: float) -> list[LimitRecord]:
     """Return the limits that searchers confirmed since the last call."""
-    unreported = table.sharing.unreported
-    upstreams = [
-        table.upstreams[searcher_id]
-        for searcher_id in unreported
+    unreported = dict(table.sharing.unreported)
+    table.sharing.unreported.clear()
+    return [
+        _limit_record(table.upstreams[searcher_id], now - confirmed_at)
+        for searcher_id, confirmed_at in unreported.items()
         if searcher_id in table.upstreams
     ]
-    unreported.clear()
-    return [_limit_record(upstream) for upstream in upstreams]
 
 
 def may_send(upstream: Upstream, table: GatewayTable, now: float) -> bool:
@@ -127,16 +132,14 @@
     ]
 
 
-def _lifts_limit(upstream: Upstream, outcome: Outcome, sent_at: float) -> bool:
-    """Return whether an answer without a limit means that there is none.
+def _may_be_outdated(upstream: Upstream, rate: float, sent_at: float) -> bool:
+    """Return whether the answer may be older than the known limit.
 
-    The answer to a request that was sent before the limit was known may be
-    older than the limit, and a failure need not come from the searcher's
-    normal handling of requests.
+    Such an answer may still lower a limit.
     """
-    if sent_at < upstream.allowance.limited_since:
+    if sent_at >= upstream.allowance.changed_at:
         return False
-    return outcome.valid_reply is not None
+    return upstream.stated_limit == NEVER or rate > upstream.stated_limit
 
 
 def _apply_limit(
@@ -151,9 +154,9 @@
         return
     is_new = upstream.stated_limit == NEVER
     upstream.stated_limit = rate
+    upstream.allowance.changed_at = now
     if is_new:
-        upstream.allowance.limited_since = now
-        upstream.allowance.fill(_share(upstream, table, now), now)
+        _start_share(upstream, table, now)
     fields = {
         'searcher': upstream.searcher_id,
         'service': upstream.record.service,
@@ -165,12 +168,25 @@
         yield LogEvent(EVENT_LIMIT_STATED, limit=rate, **fields)
 
 
-def _limit_record(upstream: Upstream) -> LimitRecord:
+def _limit_record(upstream: Upstream, age: float) -> LimitRecord:
     return LimitRecord(
-        upstream.searcher_id, upstream.record.born_ms, upstream.stated_limit
+        upstream.searcher_id,
+        upstream.record.born_ms,
+        upstream.stated_limit,
+        age,
     )
 
 
+def _start_share(upstream: Upstream, table: GatewayTable, now: float) -> None:
+    """Start to count what this host sends under a new limit."""
+    share = _share(upstream, table, now)
+    if share.requests:
+        # Hosts that learn of a limit together do not send together.
+        turn = _position(upstream, table) + 1
+        phase = min(1, turn / _sender_count(upstream, table))
+        upstream.allowance.fill(share, phase, now)
+
+
 def _share(upstream: Upstream, table: GatewayTable, now: float) -> RateShare:
     """Return what this host may send to a searcher that states a limit."""
     sharing = table.sharing
@@ -178,13 +194,11 @@
     limit = upstream.stated_limit
     if not sharing.has_share or limit <= 0:
         return NO_SHARE
-    record = upstream.record
-    key = table.sharing_key(record.service, upstream.searcher_id)
-    position = sharing.position(key, record.data_centre)
+    position = _position(upstream, table)
     share = share_of_host(limit, sharing.host_count, position)
     if share.requests:
         return share
-    senders = max(1, requests_per_window(limit))
+    senders = _sender_count(upstream, table)
     last_share = share_of_host(limit, sharing.host_count, senders - 1)
     turn = (position - senders + 1) * last_share.interval
     # If no host confirms the limit, the senders may be lost or have no
@@ -192,3 +206,16 @@
     unconfirmed = now - upstream.allowance.confirmed_at
     is_due = unconfirmed >= UNCONFIRMED_LIMIT_SECONDS + turn
     return last_share if is_due else NO_SHARE
+
+
+def _position(upstream: Upstream, table: GatewayTable) -> int:
+    """Return the position of this host among those that share a limit."""
+    record = upstream.record
+    key = table.sharing_key(record.service, upstream.searcher_id)
+    return table.sharing.position(key, record.data_centre)
+
+
+def _sender_count(upstream: Upstream, table: GatewayTable) -> int:
+    """Return how many hosts have a share of a limit above zero."""
+    requests = requests_per_window(upstream.stated_limit)
+    return max(1, min(table.sharing.host_count, requests))
--- a/snipejunction/components/gateway/upstreams.py
+++ b/snipejunction/components/gateway/upstreams.py
@@ -24,17 +24,17 @@
     """What this host sent of its share of the limit that a searcher states.
 
     ``confirmed_at`` is when a host last got the limit from the searcher,
-    ``limited_since`` when this host learned that it states one; both are in
+    ``changed_at`` when this host last learned of another one; both are in
     monotonic seconds.
     """
 
-    __slots__ = ('confirmed_at', 'limited_since')
+    __slots__ = ('changed_at', 'confirmed_at')
 
     def __init__(self, now: float) -> None:
         """Create an empty log."""
         super().__init__()
         self.confirmed_at = now
-        self.limited_since = now
+        self.changed_at = -NEVER
 
 
 class Upstream(SearcherStatus):
--- a/snipejunction/components/owner/searcher.py
+++ b/snipejunction/components/owner/searcher.py
@@ -162,7 +162,7 @@
         if stated < NEVER:
             self._share = share_of_host(stated, 1, 0) if stated else NO_SHARE
             if is_new:
-                self._log.fill(self._share, now)
+                self._log.fill(self._share, 1, now)
         return True
 
     def wait(self, ahead: int, now: float) -> float:
--- a/snipejunction/components/registration/messages.py
+++ b/snipejunction/components/registration/messages.py
@@ -70,16 +70,20 @@
     """The request rate that a searcher states for all entry hosts.
 
     ``born_ms`` is the Unix time of its start in milliseconds; ``rate`` is in
-    requests per second, infinite if it states none any more.
+    requests per second, infinite if it states none any more. ``age`` is the
+    time since the answer that stated it, in seconds.
     """
 
-    __slots__ = ('born_ms', 'rate', 'searcher_id')
+    __slots__ = ('age', 'born_ms', 'rate', 'searcher_id')
 
-    def __init__(self, searcher_id: str, born_ms: int, rate: float) -> None:
+    def __init__(
+        self, searcher_id: str, born_ms: int, rate: float, age: float
+    ) -> None:
         """Create a record."""
         self.searcher_id = searcher_id
         self.born_ms = born_ms
         self.rate = rate
+        self.age = age
 
 
 @wire(159)
--- a/snipejunction/edge/gateway/control_link.py
+++ b/snipejunction/edge/gateway/control_link.py
@@ -139,7 +139,8 @@
         subscribed = self._subscribed_controls()
         for name in sorted(names):
             self.peers.send(name, self._make_heartbeat(name in subscribed))
-        self.report_limits(pop_unreported(self._hooks.table))
+        now = self._loop.time()
+        self.report_limits(pop_unreported(self._hooks.table, now))
 
     def report_limits(self, limits: list[LimitRecord]) -> None:
         """Report limits that searchers stated to this host."""
--- a/snipejunction/helpers/rates.py
+++ b/snipejunction/helpers/rates.py
@@ -83,11 +83,15 @@
         """Create an empty log."""
         self._sent_at: deque[float] = deque()
 
-    def fill(self, share: RateShare, now: float) -> None:
-        """Replace the log by one of a host that has used its share evenly."""
+    def fill(self, share: RateShare, phase: float, now: float) -> None:
+        """Replace the log by one of a host that has used its share evenly.
+
+        ``phase`` is how much of an interval is left until the next request
+        may be sent, above 0 and up to 1.
+        """
         self._sent_at = deque(
-            now - share.seconds + number * share.interval
-            for number in range(1, share.requests + 1)
+            now - share.seconds + (number + phase) * share.interval
+            for number in range(share.requests)
         )
 
     def count(self, now: float) -> None:
--- a/tests/components/gateway/fleet.py
+++ b/tests/components/gateway/fleet.py
@@ -168,7 +168,8 @@
 
     def _send_reports(self) -> None:
         for table in self.tables.values():
-            self.deliver_limits(ReportLimits(pop_unreported(table)))
+            limits = pop_unreported(table, self.now)
+            self.deliver_limits(ReportLimits(limits))
 
     def _apply_limits(self, update: LimitUpdate) -> None:
         for table in self.tables.values():
--- a/tests/components/gateway/test_stated_limits.py
+++ b/tests/components/gateway/test_stated_limits.py
@@ -85,3 +85,13 @@
                 arrivals = fleet.arrivals[searcher]
                 used = sum(when >= 10 for when in arrivals) / 20
                 self.assertThat(used, GreaterThan(0.9 * limit))
+
+    def test_low_limit_does_not_stop_all_hosts(self) -> None:
+        """Some hosts may send soon after a low limit was stated."""
+        fleet = Fleet(9, ('a', 'b', 'c'), 1)
+        fleet.limits = {f's-{name}': 1.0 for name in 'abc'}
+        fleet.send_requests(90, 4)
+        for searcher in fleet.limits:
+            times = fleet.arrivals[searcher]
+            soon = len([when for when in times if int(when) in {1, 2, 3}])
+            self.assertThat(soon, GreaterThan(1))
--- a/tests/components/registration/test_limits.py
+++ b/tests/components/registration/test_limits.py
@@ -44,7 +44,7 @@
     ) -> dict[str, list[float]]:
         """Report a limit to a control host; return the rates it sends on."""
         born_ms = self.known(control).record.born_ms
-        update = LimitUpdate([LimitRecord('a', born_ms, rate)])
+        update = LimitUpdate([LimitRecord('a', born_ms, rate, 0)])
         return sent_rates(self.receive(control, sender, update))
 
     def test_to_subscribers_and_other_controls(self) -> None:
@@ -69,7 +69,7 @@
 
     def test_searcher_that_is_gone(self) -> None:
         """The limit of an unknown searcher is passed on, but not kept."""
-        update = LimitUpdate([LimitRecord('b', 1, _LIMIT)])
+        update = LimitUpdate([LimitRecord('b', 1, _LIMIT, 0)])
         self.receive('h1', 'e1', update)
         commands = self.subscribe('h1', 'e3')
         self.assertThat(sent_rates(commands), Equals({}))
--- a/tests/helpers/test_rates.py
+++ b/tests/helpers/test_rates.py
@@ -67,7 +67,7 @@
         """No window holds more than the share, whenever requests come."""
         share = RateShare(requests, LIMIT_WINDOW_SECONDS)
         log = SendLog()
-        log.fill(share, 100)
+        log.fill(share, 1, 100)
         sent: list[float] = []
         now = 100.0
         for gap in gaps:
@@ -85,7 +85,7 @@
         """After the time to wait, a request may be sent."""
         share = RateShare(requests, LIMIT_WINDOW_SECONDS)
         log = SendLog()
-        log.fill(share, now)
+        log.fill(share, 1, now)
         for _ in range(ahead + 1):
             now += log.wait(share, 0, now)
             self.assertTrue(log.may_send(share, now))
@@ -103,6 +103,16 @@
                 sent += 1
         self.assertThat(sent, Equals(80))
 
+    def test_phases(self) -> None:
+        """Hosts with one request each send at different times."""
+        share = RateShare(1, LIMIT_WINDOW_SECONDS)
+        waits = []
+        for position in range(4):
+            log = SendLog()
+            log.fill(share, (position + 1) / 4, 10)
+            waits.append(log.wait(share, 0, 10))
+        self.assertThat(waits, Equals([1, 2, 3, 4]))
+
     def test_spacing(self) -> None:
         """What a window allows is not sent at once."""
         share = RateShare(8, LIMIT_WINDOW_SECONDS)
