Play stated limits in the soak

Searchers of the soak state limits at random, and all of them at the end of a run, long enough for windows that no disruption excuses; the checker counts what exceeds the users' bound (one and a half times the limit and 5 more in 4 s).

--- a/snipejunction/standin/stated_rate.py
+++ b/snipejunction/standin/stated_rate.py
@@ -3,29 +3,35 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import Final
 
 from snipejunction.helpers.rates import LIMIT_WINDOW_SECONDS
 from snipejunction.timers import NEVER
 
-# Time from the first answer with a rate until a window of that rate can have
-# begun: an owner learns the rate from the answer.
-LEARN_SECONDS: Final = 0.5
-
 
 class StatedRate:
     """A rate in requests per second, ``NEVER`` for none.
 
     ``factor`` and ``margin`` bound the requests of one window: ``factor``
-    times what the rate allows, and ``margin`` more.
+    times what the rate allows, and ``margin`` more. Windows are checked that
+    begin ``learn_seconds`` or more after the first answer with the rate.
     """
 
-    __slots__ = ('_arrivals', '_factor', '_margin', '_stated_at', 'rate')
-
-    def __init__(self, factor: float, margin: float) -> None:
+    __slots__ = (
+        '_arrivals',
+        '_factor',
+        '_learn_seconds',
+        '_margin',
+        '_stated_at',
+        'rate',
+    )
+
+    def __init__(
+        self, factor: float, margin: float, learn_seconds: float = 0.5
+    ) -> None:
         """Create the state of a stand-in that states no rate."""
         self._factor = factor
         self._margin = margin
+        self._learn_seconds = learn_seconds
         self._arrivals: deque[float] = deque()
         self._stated_at = NEVER
         self.rate = NEVER
@@ -51,5 +57,6 @@
         arrivals.append(now)
         while arrivals[0] <= now - LIMIT_WINDOW_SECONDS:
             arrivals.popleft()
-        checked_from = self._stated_at + LEARN_SECONDS + LIMIT_WINDOW_SECONDS
-        return now < checked_from or len(arrivals) <= self.allowed
+        learned_at = self._stated_at + self._learn_seconds
+        is_checked = now >= learned_at + LIMIT_WINDOW_SECONDS
+        return not is_checked or len(arrivals) <= self.allowed
--- a/tests/soak/driver.py
+++ b/tests/soak/driver.py
@@ -9,6 +9,7 @@
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from pathlib import Path
 
+from snipejunction.timers import NEVER
 from tests.processes.platform_harness import (
     CONTROL,
     ENTRY,
@@ -18,6 +19,10 @@
 from tests.soak.searchers import OPERATORS, Searcher
 from tests.soak.world import READY, SoakEnvironment
 
+# Limits that searchers state, in requests per second.
+STATED_LIMITS = (0.5, 2, 8)
+# Long enough for windows of limits that follow all disruptions.
+CALM_SECONDS = 18
 ROLES = ((CONTROL,), (ENTRY,), (CONTROL, ENTRY))
 PROXY_FAULTS = ('delay', 'reset', 'silent', 'one-way')
 
@@ -44,6 +49,7 @@
             (1, self._async_power_loss),
             (1, self._async_wipe),
             (4, self._async_disturb_connections),
+            (3, self._async_limit),
             (3, self._async_crash),
             (2, self._async_leave),
             (4, self._async_change),
@@ -59,6 +65,7 @@
             fault_tasks.append(asyncio.ensure_future(fault()))
             await asyncio.sleep(self._random.choice((0.05, 0.4, 1.5)))
         await asyncio.gather(*fault_tasks)
+        await self._async_limit_all()
 
     def log_fault(self, text: str) -> None:
         """Record a fault with its time."""
@@ -158,6 +165,24 @@
         # The blocked bytes are lost, so the streams are corrupt: reset them.
         searcher.proxy.reset()
 
+    async def _async_limit(self) -> None:
+        searcher = self._random_searcher()
+        rate = self._random.choice(STATED_LIMITS)
+        self.log_fault(f'limit {searcher.searcher_id} {rate}')
+        stated_rate = searcher.stated_rate
+        stated_rate.replace(rate)
+        await asyncio.sleep(self._random.choice((3, 10, 15)))
+        stated_rate.replace(NEVER)
+
+    async def _async_limit_all(self) -> None:
+        """Let searchers state limits until no disruption excuses an excess."""
+        self.log_fault('all state limits')
+        for searcher in self._environment.searchers:
+            searcher.stated_rate.replace(self._random.choice(STATED_LIMITS))
+        await asyncio.sleep(CALM_SECONDS)
+        for searcher in self._environment.searchers:
+            searcher.stated_rate.replace(NEVER)
+
     async def _async_crash(self) -> None:
         searcher = self._random_searcher()
         if searcher.state != 'ready':
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -15,6 +15,11 @@
 RETRY_RATIO = 0.2
 RETRY_SLACK = 60
 RETRY_WINDOW_SECONDS = 10.0
+# Requests in a window above a stated limit that the documentation allows, and
+# the time until all hosts know a limit.
+LIMIT_FACTOR = 1.5
+LIMIT_MARGIN = 5
+LIMIT_LEARN_SECONDS = 4.0
 # Number of requests that may reach more than ATTEMPTS searchers, per the
 # documentation.
 MAX_EXCESS_REQUESTS = 3
@@ -68,6 +73,14 @@
         self.arrivals.append(arrival)
         self.runs[arrival.request_id] += 1
 
+    def record_excess(self, searcher_id: str, now: float) -> None:
+        """Record a request above the limit that a searcher states.
+
+        Restarted, frozen and cut off hosts may not know of the limit.
+        """
+        if self.is_undisturbed(now - LIMIT_LEARN_SECONDS, now):
+            self.add_violation(f'{searcher_id} got more than its limit')
+
     def check_gathered_answer(
         self, request_id, shard_sets, headers, body, max_records, min_share
     ) -> None:
--- a/tests/soak/searchers.py
+++ b/tests/soak/searchers.py
@@ -10,8 +10,17 @@
 from random import Random
 from socket import SO_LINGER, SOL_SOCKET
 
+from snipejunction.standin.stated_rate import StatedRate
+from snipejunction.timers import NEVER
 from tests.processes.platform_harness import POLL_SECONDS
-from tests.soak.ledger import RECORD_BYTES, Arrival, InvariantChecker
+from tests.soak.ledger import (
+    LIMIT_FACTOR,
+    LIMIT_LEARN_SECONDS,
+    LIMIT_MARGIN,
+    RECORD_BYTES,
+    Arrival,
+    InvariantChecker,
+)
 
 OPERATORS = 2
 HEARTBEAT_SECONDS = 0.3
@@ -107,6 +116,7 @@
         self.proxy = Proxy()
         self.searcher_id = ''
         self.state = 'ready'
+        self.stated_rate = self._new_rate()
         self._environment = environment
         self._checker: InvariantChecker = environment.checker
         self._random = Random(number)
@@ -122,6 +132,7 @@
         self._generation += 1
         self.searcher_id = f'i{self.number}-{self._generation}'
         self.state = 'ready'
+        self.stated_rate = self._new_rate()
         if not self.proxy.port:
             await self.proxy.async_open()
         self._server = await asyncio.start_server(
@@ -161,6 +172,14 @@
             await self._environment.async_send_command(path, b'')
             await self.async_crash()
 
+    def _new_rate(self) -> StatedRate:
+        return StatedRate(LIMIT_FACTOR, LIMIT_MARGIN, LIMIT_LEARN_SECONDS)
+
+    def _check_rate(self) -> None:
+        now = self._environment.now
+        if not self.stated_rate.count_arrival(now):
+            self._checker.record_excess(self.searcher_id, now)
+
     async def _async_announce(self) -> None:
         sequence = 0
         while True:
@@ -224,6 +243,7 @@
                 request_id,
             ),
         )
+        self._check_rate()
         await asyncio.sleep(self._random.uniform(0.002, 0.02))
         # Simulate an occasional pause.
         await asyncio.sleep(self._random.choice(PAUSES))
@@ -232,7 +252,16 @@
         records = [os.urandom(RECORD_BYTES) for _ in range(3)]
         self._checker.records[signature] = (self.service, request_id, records)
         stamp = f'X-Snipejunction-Server-Stamp: {signature}'
-        return _format_response('200 OK', b''.join(records), echo, stamp)
+        return _format_response(
+            '200 OK', b''.join(records), echo, stamp, *self._limit_fields()
+        )
+
+    def _limit_fields(self) -> list[str]:
+        """Return the header of an answer that states the rate, if any."""
+        if self.stated_rate.rate == NEVER:
+            return []
+        self.stated_rate.count_answer(self._environment.now)
+        return [f'Server-Limit: {self.stated_rate.rate}']
 
 
 def _parse_header_fields(head: bytes) -> dict[str, str]:
