Let one host confirm a stated limit to all others

Cause: each host that got an answer with a limit confirmed it to all entry hosts with each heartbeat, by way of the control hosts: with 18 hosts and 28 limited searchers 500 records a second at each of 200 hosts.

Change: a limit that any host reported in the last 2 s is not reported again.

--- a/snipejunction/components/gateway/const.py
+++ b/snipejunction/components/gateway/const.py
@@ -83,8 +83,11 @@
 # Interval at which a host without usable control hosts tries two more of them,
 # in seconds: longer than a handshake with an idle control host.
 CONTROL_SEARCH_STEP_SECONDS: Final = 0.5
+# Time after a report of a limit until a host confirms it again, in seconds:
+# reports go to all entry hosts.
+LIMIT_REPORT_SECONDS: Final = 2.0
 # Time without any confirmation of a limit after which further hosts send, in
-# seconds: several reports, which are sent with each heartbeat.
+# seconds: longer than the time between two reports and a heartbeat.
 UNCONFIRMED_LIMIT_SECONDS: Final = 5.0
 # How long a host that is no longer advertised keeps its share of limits, in
 # seconds: longer than a planned stop.
--- a/snipejunction/components/gateway/stated_limits.py
+++ b/snipejunction/components/gateway/stated_limits.py
@@ -16,6 +16,7 @@
     EVENT_LIMIT_LIFTED,
     EVENT_LIMIT_STATED,
     EVENT_LIMIT_UNREADABLE,
+    LIMIT_REPORT_SECONDS,
     UNCONFIRMED_LIMIT_SECONDS,
 )
 from snipejunction.components.gateway.replies import Outcome
@@ -75,8 +76,9 @@
     is_changed = rate != upstream.stated_limit
     yield from _apply_limit(upstream, rate, _OWN_ANSWER, table, now)
     if is_changed:
+        upstream.allowance.reported_at = now
         yield ReportLimits([_limit_record(upstream, 0)])
-    elif rate < NEVER:
+    elif rate < NEVER and _is_report_due(upstream, now):
         table.sharing.unreported[upstream.searcher_id] = now
 
 
@@ -91,20 +93,27 @@
         if now - record.age < upstream.allowance.changed_at:
             # The answer is older than what is known.
             continue
+        upstream.allowance.reported_at = now
         yield from _apply_limit(
             upstream, record.rate, message.sender, table, now
         )
 
 
 def pop_unreported(table: GatewayTable, now: float) -> list[LimitRecord]:
-    """Return the limits that searchers confirmed since the last call."""
+    """Return the limits to confirm to other hosts.
+
+    These are limits that searchers confirmed to this host since the last call
+    and that no other host reported meanwhile.
+    """
     unreported = dict(table.sharing.unreported)
     table.sharing.unreported.clear()
-    return [
-        _limit_record(table.upstreams[searcher_id], now - confirmed_at)
-        for searcher_id, confirmed_at in unreported.items()
-        if searcher_id in table.upstreams
-    ]
+    records = []
+    for searcher_id, confirmed_at in unreported.items():
+        upstream = table.upstreams.get(searcher_id)
+        if upstream is not None and _is_report_due(upstream, now):
+            upstream.allowance.reported_at = now
+            records.append(_limit_record(upstream, now - confirmed_at))
+    return records
 
 
 def may_send(upstream: Upstream, table: GatewayTable, now: float) -> bool:
@@ -132,6 +141,11 @@
     ]
 
 
+def _is_report_due(upstream: Upstream, now: float) -> bool:
+    reported_at = upstream.allowance.reported_at
+    return now >= reported_at + LIMIT_REPORT_SECONDS
+
+
 def _may_be_outdated(upstream: Upstream, rate: float, sent_at: float) -> bool:
     """Return whether the answer may be older than the known limit.
 
--- a/snipejunction/components/gateway/upstreams.py
+++ b/snipejunction/components/gateway/upstreams.py
@@ -24,16 +24,17 @@
     """What this host sent of its share of the limit that a searcher states.
 
     ``confirmed_at`` is when a host last got the limit from the searcher,
-    ``changed_at`` when this host last learned of another one; both are in
-    monotonic seconds.
+    ``reported_at`` when a host last told others so, and ``changed_at`` when
+    this host last learned of another limit, all in monotonic seconds.
     """
 
-    __slots__ = ('changed_at', 'confirmed_at')
+    __slots__ = ('changed_at', 'confirmed_at', 'reported_at')
 
     def __init__(self, now: float) -> None:
         """Create an empty log."""
         super().__init__()
         self.confirmed_at = now
+        self.reported_at = -NEVER
         self.changed_at = -NEVER
 
 
--- a/tests/components/gateway/fleet.py
+++ b/tests/components/gateway/fleet.py
@@ -6,6 +6,7 @@
 import itertools
 from collections import Counter
 from collections.abc import Callable, Iterable
+from functools import partial
 from random import Random
 
 from snipejunction.commands import Command, EventKind, LogEvent
@@ -47,7 +48,8 @@
 
     ``limits`` maps searchers to the rates that they state; some
     answers of those in ``failing`` are failures without a rate. ``arrivals``
-    holds when each searcher received requests.
+    holds when each searcher received requests; ``confirmations`` counts the
+    limits that hosts confirmed to others.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         self.limits: dict[str, float] = {}
         self.failing: set[str] = set()
         self.arrivals: dict[str, list[float]] = {}
+        self.confirmations = 0
         self.statuses: Counter[int] = Counter()
         self.refusal_seconds: list[float] = []
         self.events: list[LogEvent] = []
@@ -106,7 +109,7 @@
             when += self._random.expovariate(rate)
             self._schedule(when, self._send_request)
         for second in range(int(seconds)):
-            self._schedule(end - second, self._send_reports)
+            self._schedule_reports(end - second)
         self._run_until(end)
 
     def most_arrivals(
@@ -166,10 +169,16 @@
     def _schedule(self, when: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._heap, (when, next(self._numbers), action))
 
-    def _send_reports(self) -> None:
-        for table in self.tables.values():
-            limits = pop_unreported(table, self.now)
-            self.deliver_limits(ReportLimits(limits))
+    def _schedule_reports(self, when: float) -> None:
+        """Let the hosts send their reports within half a second."""
+        for name in self.names:
+            delay = self._random.uniform(0, 0.5)
+            self._schedule(when - delay, partial(self._send_report, name))
+
+    def _send_report(self, name: str) -> None:
+        limits = pop_unreported(self.tables[name], self.now)
+        self.confirmations += len(limits)
+        self.deliver_limits(ReportLimits(limits))
 
     def _apply_limits(self, update: LimitUpdate) -> None:
         for table in self.tables.values():
--- a/tests/components/gateway/test_stated_limits.py
+++ b/tests/components/gateway/test_stated_limits.py
@@ -45,6 +45,14 @@
             fleet.send_requests(90, 5)
             self.assertThat(fleet.count_events(EVENT_LIMIT_LIFTED), Equals(18))
 
+    def test_few_confirmations(self) -> None:
+        """One host confirms a limit to all others, not each of them."""
+        fleet = Fleet(18, ('a', 'b', 'c'), 3)
+        fleet.limits = {'s-a': 20.0}
+        fleet.send_requests(120, 40)
+        self.assertThat(fleet.confirmations, GreaterThan(10))
+        self.assertThat(fleet.confirmations, LessThan(40))
+
     def test_failures_lift_no_limit(self) -> None:
         """A searcher that fails without a word of its limit keeps it."""
         fleet = Fleet(9, ('a', 'b', 'c'), 2)
