Count departed hosts in shares of connections and of the repeat budget

When two of nine hosts left the list and went on with the callers that they had, the others took their shares: 42 requests open at a searcher that takes 36.

Change: both are divided among the hosts that share stated limits, which count a departed host for 15 s. A host that was advertised for less than 2 s does not count, as lists change quickly while many hosts start.

--- a/snipejunction/components/gateway/const.py
+++ b/snipejunction/components/gateway/const.py
@@ -89,9 +89,12 @@
 # Time without any confirmation of a limit after which further hosts send, in
 # seconds: longer than the time between two reports and a heartbeat.
 UNCONFIRMED_LIMIT_SECONDS: Final = 5.0
-# How long a host that is no longer advertised keeps its share of limits, in
+# How long a host that is no longer advertised keeps its share of bounds, in
 # seconds: longer than a planned stop.
 DEPARTED_HOST_SECONDS: Final = 15.0
+# Time from which on an advertised host has callers that keep its address, in
+# seconds.
+MIN_ADVERTISED_SECONDS: Final = 2.0
 # Addresses in one answer to a caller, which reads no more than these.
 MAX_ADDRESSES: Final = 64
 
--- a/snipejunction/components/gateway/limit_sharing.py
+++ b/snipejunction/components/gateway/limit_sharing.py
@@ -1,19 +1,25 @@
-"""Which entry hosts share the request rates that searchers state."""
+"""Which entry hosts share bounds on searchers and services."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
 
 from snipejunction.components.deployment.messages import EntryRecord
-from snipejunction.components.gateway.const import DEPARTED_HOST_SECONDS
+from snipejunction.components.gateway.const import (
+    DEPARTED_HOST_SECONDS,
+    MIN_ADVERTISED_SECONDS,
+)
 from snipejunction.helpers.rendezvous import weight
+from snipejunction.timers import NEVER
 
 
 class LimitSharing:
-    """The hosts that share limits, in an order that all of them agree on.
+    """The hosts that share bounds, in an order that all of them agree on.
 
     A host that is no longer advertised counts for ``DEPARTED_HOST_SECONDS``:
-    it may still send, or be alive on the other side of a cut. Times are
+    it may still send, or be alive on the other side of a cut. One that was
+    advertised for less than ``MIN_ADVERTISED_SECONDS`` has hardly any callers
+    and does not: lists change quickly while many hosts start. Times are
     monotonic seconds.
 
     ``attempts`` counts the attempts sent to searchers that state a limit and
@@ -23,6 +29,7 @@
     """
 
     __slots__ = (
+        '_advertised_at',
         '_departed_at',
         '_hosts',
         '_name',
@@ -36,6 +43,7 @@
         """Create a table of host ``name`` without any hosts."""
         self._name = name
         self._hosts: dict[str, EntryRecord] = {}
+        self._advertised_at: dict[str, float] = {}
         self._departed_at: dict[str, float] = {}
         self._positions: dict[tuple[str, str], int] = {}
         self.attempts = 0
@@ -56,11 +64,17 @@
         self, active: Mapping[str, EntryRecord], now: float
     ) -> None:
         """Replace the advertised hosts."""
-        for name in self._hosts.keys() - active.keys():
-            self._departed_at.setdefault(name, now)
+        for name in self._advertised_at.keys() - active.keys():
+            advertised_at = self._advertised_at.pop(name)
+            if now >= advertised_at + MIN_ADVERTISED_SECONDS:
+                self._departed_at[name] = now
+            else:
+                self._hosts.pop(name)
         for name, record in active.items():
             self._hosts[name] = record
-            self._departed_at.pop(name, None)
+            has_callers = self._departed_at.pop(name, None) is not None
+            since = -NEVER if has_callers else now
+            self._advertised_at.setdefault(name, since)
         self._positions.clear()
 
     def drop_departed(self, now: float) -> None:
--- a/snipejunction/components/gateway/tables.py
+++ b/snipejunction/components/gateway/tables.py
@@ -120,7 +120,7 @@
 
     @property
     def sharing(self) -> LimitSharing:
-        """Return how hosts share the limits that searchers state."""
+        """Return which hosts share the bounds of searchers and services."""
         return self._sharing
 
     @property
@@ -142,7 +142,7 @@
 
         Hosts that are not advertised to callers have no share.
         """
-        return 1 / len(self.active) if self.is_active else 0
+        return 1 / self.sharing.host_count if self.is_active else 0
 
     @property
     def is_cut_off(self) -> bool:
@@ -209,4 +209,5 @@
         known = self.find_service(service)
         if known is None:
             return 1
-        return max(1, known.max_connections // max(1, len(self.active)))
+        hosts = max(1, self.sharing.host_count)
+        return max(1, known.max_connections // hosts)
--- a/snipejunction/edge/gateway/gateway_host.py
+++ b/snipejunction/edge/gateway/gateway_host.py
@@ -333,7 +333,9 @@
         request.respond(status, headers, b'')
 
     def _expire_searchers(self) -> None:
-        drop_gone_searchers(self.table, self._loop.time())
+        now = self._loop.time()
+        drop_gone_searchers(self.table, now)
+        self.table.drop_departed_hosts(now)
         self._expiry_timer = self._loop.call_later(
             _EXPIRY_INTERVAL_SECONDS,
             self._expire_searchers,
--- a/tests/components/gateway/fleet.py
+++ b/tests/components/gateway/fleet.py
@@ -38,6 +38,9 @@
 MIN_ANSWER_SECONDS = 0.005
 MAX_ANSWER_SECONDS = 0.1
 FAILURE_SHARE = 0.5
+REPEAT_RATIO = 0.2
+REPEAT_SLACK = 60
+REPEAT_WINDOW_SECONDS = 10
 HOSTS_PER_CENTRE = 3
 # From one host through a control host to another.
 REPORT_SECONDS = 0.02
@@ -49,7 +52,9 @@
     ``limits`` maps searchers to the rates that they state; some
     answers of those in ``failing`` are failures without a rate. ``arrivals``
     holds when each searcher received requests; ``confirmations`` counts the
-    limits that hosts confirmed to others.
+    limits that hosts confirmed to others. ``most_open`` is the most requests
+    that each searcher had at once, and ``repeats`` holds when each service
+    got others than the first of a request.
     """
 
     def __init__(
@@ -58,11 +63,21 @@
         searchers: Iterable[str],
         seed: int,
         shards: tuple[str, ...] = (),
+        cold: float = 0,
+        max_connections: int = 300,
     ) -> None:
+        """Create hosts and searchers, cold for ``cold`` seconds."""
+        self._max_connections = max_connections
         self.now = 0.0
+        self._cold = cold
+        self._departed: set[str] = set()
         self.limits: dict[str, float] = {}
         self.failing: set[str] = set()
         self.arrivals: dict[str, list[float]] = {}
+        self.repeats: dict[str, list[float]] = {}
+        self.open_requests: Counter[str] = Counter()
+        self.most_open: Counter[str] = Counter()
+        self.max_answer_seconds = MAX_ANSWER_SECONDS
         self.confirmations = 0
         self.statuses: Counter[int] = Counter()
         self.refusal_seconds: list[float] = []
@@ -78,28 +93,29 @@
 
     def make_host(self, name: str) -> GatewayTable:
         """Return the tables of a host that has just started."""
-        limits = RepeatLimits(0.2, 60, 10)
+        limits = RepeatLimits(REPEAT_RATIO, REPEAT_SLACK, REPEAT_WINDOW_SECONDS)
         random = Random(self._random.random())
         table = GatewayTable(
             name, 'near', {'near': 'one'}, limits, random, self.now
         )
-        install_document(table, self.route, max_connections=300)
+        install_document(
+            table, self.route, max_connections=self._max_connections
+        )
         for service in self._services:
             for searcher in self._searchers:
-                record = make_record(f'{service}-{searcher}', service)
+                record = make_record(
+                    f'{service}-{searcher}', service, cold=self._cold
+                )
                 report_searchers(table, record)
-        records = [
-            EntryRecord(host, host, f'd{number // HOSTS_PER_CENTRE}', 'one')
-            for number, host in enumerate(self.names)
-        ]
-        hosts = HostsUpdate({'c1': 'near'}, records, False)
-        hosts.sender = 'c1'
-        update_hosts(hosts, table, self.now)
+        self._send_hosts(table, self.names)
         return table
 
-    def restart(self, name: str) -> None:
-        """Replace a host by one that knows nothing of before."""
-        self.tables[name] = self.make_host(name)
+    def depart(self, name: str) -> None:
+        """Name a host to the others no longer; it goes on and does not know."""
+        self._departed.add(name)
+        others = [other for other in self.names if other not in self._departed]
+        for other in others:
+            self._send_hosts(self.tables[other], others)
 
     def send_requests(self, rate: float, seconds: float) -> None:
         """Send requests at a rate for all hosts together, then run them."""
@@ -112,6 +128,17 @@
             self._schedule_reports(end - second)
         self._run_until(end)
 
+    def most_repeats(self, window: float) -> int:
+        """Return the most repeats that a service got in any window."""
+        return max(
+            (
+                sum(start <= when < start + window for when in times)
+                for times in self.repeats.values()
+                for start in times
+            ),
+            default=0,
+        )
+
     def most_arrivals(
         self, searcher: str, since: float, window: float = 4.0
     ) -> int:
@@ -131,11 +158,19 @@
         """Let a searcher receive an attempt and answer it."""
         searcher = attempt.upstream.searcher_id
         self.arrivals.setdefault(searcher, []).append(self.now)
+        if len(attempt.part.attempts) > 1:
+            service = attempt.upstream.record.service
+            self.repeats.setdefault(service, []).append(self.now)
+        self.open_requests[searcher] += 1
+        self.most_open[searcher] = max(
+            self.most_open[searcher], self.open_requests[searcher]
+        )
         outcome = self._answer(searcher)
+        seconds = self._random.uniform(
+            MIN_ANSWER_SECONDS, self.max_answer_seconds
+        )
         self._schedule(
-            self.now
-            + self._random.uniform(MIN_ANSWER_SECONDS, MAX_ANSWER_SECONDS),
-            lambda: request.finish_attempt(attempt, outcome),
+            self.now + seconds, partial(self._finish, request, attempt, outcome)
         )
 
     def count_events(self, kind: EventKind) -> int:
@@ -154,6 +189,24 @@
             self.now + REPORT_SECONDS, lambda: self._apply_limits(update)
         )
 
+    def _finish(
+        self, request: _FleetRequest, attempt: Attempt, outcome: Outcome
+    ) -> None:
+        self.open_requests[attempt.upstream.searcher_id] -= 1
+        request.finish_attempt(attempt, outcome)
+
+    def _send_hosts(self, table: GatewayTable, names: list[str]) -> None:
+        """Tell a host which entry hosts are advertised."""
+        records = [
+            EntryRecord(
+                name, name, f'd{int(name[1:]) // HOSTS_PER_CENTRE}', 'one'
+            )
+            for name in names
+        ]
+        hosts = HostsUpdate({'c1': 'near'}, records, False)
+        hosts.sender = 'c1'
+        update_hosts(hosts, table, self.now)
+
     def _answer(self, searcher: str) -> Outcome:
         is_failure = searcher in self.failing and (
             self._random.random() < FAILURE_SHARE
