Name shares and ages of stated limits in refusals; say why a relay held a part back

A line that explains a refusal by limits (957) named what searchers state, but not what this host may send of it nor how old that news is; a part that a relay held back for a limit looked like any other.

--- a/snipejunction/components/gateway/relayed.py
+++ b/snipejunction/components/gateway/relayed.py
@@ -178,9 +178,12 @@
 
 
 def _held_back(upstream: Upstream | None) -> Outcome:
-    limit = None if upstream is None else upstream.stated_limit
+    detail = 'held back by the relay'
+    if upstream is None or upstream.stated_limit == NEVER:
+        return Outcome(OutcomeKind.UNSENT, detail=detail)
+    limit = upstream.stated_limit
     return Outcome(
         OutcomeKind.UNSENT,
-        detail='held back by the relay',
-        stated_limit=None if limit == NEVER else limit,
+        detail=f'{detail}: it states a limit of {limit:g} per s',
+        stated_limit=limit,
     )
--- a/snipejunction/components/gateway/stated_limits.py
+++ b/snipejunction/components/gateway/stated_limits.py
@@ -135,12 +135,20 @@
 ) -> list[str]:
     """Describe the limits that keep this host from sending, for the log."""
     return [
-        f'{upstream.searcher_id} states {upstream.stated_limit}'
+        _describe_limit(upstream, _share(upstream, table, now), now)
         for upstream in upstreams
         if not may_send(upstream, table, now)
     ]
 
 
+def _describe_limit(upstream: Upstream, share: RateShare, now: float) -> str:
+    age = now - upstream.allowance.confirmed_at
+    return (
+        f'{upstream.searcher_id} states {upstream.stated_limit:g} '
+        f'({share.requests} in {share.seconds:g} s here, told {age:.1f} s ago)'
+    )
+
+
 def _is_report_due(upstream: Upstream, now: float) -> bool:
     reported_at = upstream.allowance.reported_at
     return now >= reported_at + LIMIT_REPORT_SECONDS
--- a/tests/components/gateway/test_stated_limits.py
+++ b/tests/components/gateway/test_stated_limits.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 from testtools import TestCase
-from testtools.matchers import Equals, GreaterThan, LessThan
+from testtools.matchers import Equals, GreaterThan, LessThan, MatchesRegex
 
-from snipejunction.components.gateway.const import EVENT_LIMIT_LIFTED
+from snipejunction.components.gateway.const import (
+    EVENT_LIMIT_LIFTED,
+    EVENT_LIMIT_REACHED,
+)
 from tests.components.gateway.fleet import Fleet
 
 # Hosts may send this long above a limit that they have just learned of.
@@ -94,6 +97,23 @@
                 used = sum(when >= 10 for when in arrivals) / 20
                 self.assertThat(used, GreaterThan(0.9 * limit))
 
+    def test_refusals_are_explained(self) -> None:
+        """A refusal names the limits, this host's shares and their age."""
+        fleet = Fleet(2, ('a',), 1)
+        fleet.limits = {'s-a': 2.5}
+        fleet.send_requests(20, 6)
+        explained = [
+            event.fields['limits']
+            for event in fleet.events
+            if event.event is EVENT_LIMIT_REACHED
+        ]
+        self.assertThat(
+            explained[-1],
+            MatchesRegex(
+                r's-a states 2\.5 \(5 in 4 s here, told \d\.\d s ago\)$'
+            ),
+        )
+
     def test_low_limit_does_not_stop_all_hosts(self) -> None:
         """Some hosts may send soon after a low limit was stated."""
         fleet = Fleet(9, ('a', 'b', 'c'), 1)
