Ask a searcher that states a limit of zero again after a while

Cause: a limit ends with an answer that does not name it, and a searcher that states zero, or one request in minutes, was asked never, or hardly ever, again: it stayed out of use after its need was over.

Change: however low a limit is, one host (or the owner) sends one request in 30 s.

Measured: after a limit of zero ended, 0 requests in 5 s > more than 100 (nine hosts); the owner's limit stayed > lifted. Both tests fail without the change.

--- a/snipejunction/components/gateway/stated_limits.py
+++ b/snipejunction/components/gateway/stated_limits.py
@@ -216,7 +216,7 @@
     sharing = table.sharing
     table.drop_departed_hosts(now)
     limit = upstream.stated_limit
-    if not sharing.has_share or limit <= 0:
+    if not sharing.has_share:
         return NO_SHARE
     position = _position(upstream, table)
     share = share_of_host(limit, sharing.host_count, position)
--- a/snipejunction/components/owner/searcher.py
+++ b/snipejunction/components/owner/searcher.py
@@ -160,7 +160,7 @@
         is_new = self.stated == NEVER
         self.stated = stated
         if stated < NEVER:
-            self._share = share_of_host(stated, 1, 0) if stated else NO_SHARE
+            self._share = share_of_host(stated, 1, 0)
             if is_new:
                 self._log.fill(self._share, 1, now)
         return True
--- a/snipejunction/helpers/rates.py
+++ b/snipejunction/helpers/rates.py
@@ -18,6 +18,9 @@
 # Least time between two requests of a host, as a share of the mean time: the
 # upstream does not get what a window allows at once.
 MIN_SPACING_SHARE: Final = 0.5
+# Longest time between two requests to an upstream, however low its limit, in
+# seconds: only an answer can tell that the limit has ended.
+MAX_INTERVAL_SECONDS: Final = 30.0
 # Rounding errors of rates, in requests, and of times, in seconds.
 _ROUNDING_ERROR: Final = 1e-6
 
@@ -61,15 +64,16 @@
 
 
 def share_of_host(limit: float, hosts: int, position: int) -> RateShare:
-    """Return what one of some hosts may send under a limit above zero.
+    """Return what one of some hosts may send under a limit.
 
     Each host gets whole requests of a window; the first ones get the rest. If
     the limit allows less than one request in a window, only the host at
-    position 0 sends.
+    position 0 sends, and not less than one in ``MAX_INTERVAL_SECONDS``.
     """
     requests = requests_per_window(limit)
     if not requests:
-        return NO_SHARE if position else RateShare(1, 1 / limit)
+        interval = 1 / max(limit, 1 / MAX_INTERVAL_SECONDS)
+        return NO_SHARE if position else RateShare(1, interval)
     share, rest = divmod(requests, hosts)
     return RateShare(share + (position < rest), LIMIT_WINDOW_SECONDS)
 
--- a/tests/components/gateway/test_stated_limits.py
+++ b/tests/components/gateway/test_stated_limits.py
@@ -48,6 +48,17 @@
             fleet.send_requests(90, 5)
             self.assertThat(fleet.count_events(EVENT_LIMIT_LIFTED), Equals(18))
 
+    def test_limit_of_zero_ends(self) -> None:
+        """A searcher that takes nothing is asked rarely, but again."""
+        fleet = Fleet(9, ('a', 'b'), 3)
+        fleet.limits = {'s-a': 0.0}
+        fleet.send_requests(60, 100)
+        self.assertThat(fleet.most_arrivals('s-a', LEARN_SECONDS), Equals(1))
+        fleet.limits = {}
+        fleet.send_requests(60, 40)
+        last = [when for when in fleet.arrivals['s-a'] if when > 135]
+        self.assertThat(len(last), GreaterThan(100))
+
     def test_few_confirmations(self) -> None:
         """One host confirms a limit to all others, not each of them."""
         fleet = Fleet(18, ('a', 'b', 'c'), 3)
--- a/tests/components/owner/test_stated_rate.py
+++ b/tests/components/owner/test_stated_rate.py
@@ -80,6 +80,17 @@
         self.load(6)
         self.assertThat(self.upstream.violations, Equals(Counter()))
 
+    def test_rate_of_zero_ends(self) -> None:
+        """A searcher that takes nothing is asked rarely, but again."""
+        run = self.run_of_owner
+        self.upstream.stated_rate.replace(0)
+        codes = self.load(20)
+        self.assertThat(codes['ok'], LessThan(10))
+        self.upstream.stated_rate.replace(NEVER)
+        self.load(20)
+        limit = run.searcher('s1', self.owner).rate_limit
+        self.assertThat(limit.stated, Equals(NEVER))
+
     def test_ends_with_restart(self) -> None:
         """A restarted searcher has not stated a rate."""
         run = self.run_of_owner
