--- a/script/measure.py
+++ b/script/measure.py
@@ -9,7 +9,7 @@
 from statistics import mean
 from typing import Any
 
-from snipejunction.bench.run import POLICIES, SEEDS, run_seeds
+from snipejunction.bench.run import POLICIES, SEED_COUNT, run_seeds
 from snipejunction.bench.scenarios.catalogue import scenario_names
 
 PAGE = Path('docs/MEASUREMENTS.md')
@@ -21,7 +21,7 @@
 
 def measure(name: str) -> dict[str, Any]:
     """Return the report of one scenario over all seeds."""
-    return run_seeds(name, range(1, SEEDS + 1)).document()
+    return run_seeds(name, range(1, SEED_COUNT + 1)).document()
 
 
 def main() -> int:
