--- a/snipejunction/bench/scenarios/catalogue.py
+++ b/snipejunction/bench/scenarios/catalogue.py
@@ -30,9 +30,9 @@
 # ``slow`` slows a searcher down by a factor, ``cold_place`` restarts all
 # searchers of a data centre, ``roll`` gives a service a newer snapshot,
 # ``repartition`` changes its number of shards, ``shed`` lets a searcher shed
-# all requests until ``unshed``, and ``silence`` lets all open connections of
-# a host to searchers go silent. ``calm`` has no fault; ``together`` combines
-# several.
+# all requests until ``unshed``, ``limit`` lets it state a request rate until
+# ``unlimit``, and ``silence`` lets all open connections of a host to searchers
+# go silent. ``calm`` has no fault; ``together`` combines several.
 _ACTIONS: Final = (
     ('calm', ''),
     ('stragglers', ''),
@@ -55,6 +55,11 @@
         'shedding',
         'at 9 s shed %searcher-1\nat 13 s unshed %searcher-1',
     ),
+    (
+        'stated-limits',
+        'at 9 s limit %searcher-1 4\nat 9 s limit %searcher-2 1\n'
+        'at 15 s unlimit %searcher-1',
+    ),
     (
         'silent-connections',
         'at 9 s silence h1\nat 10 s silence h2\nat 11 s silence h3\n'
--- a/tests/bench/test_run.py
+++ b/tests/bench/test_run.py
@@ -55,3 +55,13 @@
         self.assertThat(p99 * 3, LessThan(naive.percentiles['p99']))
         self.assertThat(p99, LessThan(fixed.percentiles['p99']))
         self.assertThat(own.coverage, GreaterThan(0.99))
+
+    def test_stated_limits_tell_policies_apart(self) -> None:
+        """The baselines exceed stated rates; nobody's coverage suffers."""
+        report = run_scenario('bereket-stated-limits', 1)
+        own = report.of_policy(COORDINATED)[0]
+        self.assertThat(own.breaches, Equals({}))
+        self.assertThat(own.coverage, GreaterThan(0.99))
+        for policy in (RANDOM, LEAST_OUTSTANDING):
+            breaches = report.of_policy(policy)[0].breaches
+            self.assertThat(sum(breaches.values()), GreaterThan(100))
