Leave optional fields out of messages that say nothing by them

Hosts check the number of fields and close the stream otherwise, so during a release hosts of both kinds would have closed their streams with each relayed part and each hand-over.

Change: the last fields of a type can be optional; with default values they are not sent, and frames without them are read. As long as no searcher states a limit, all frames are those of the last release. With limits, hosts of the last release close streams with messages that they do not know: roll the release out while no searcher states any.

Result: a frame without the field is equal to the earlier one byte for byte, and is read; the test fails without the change.

--- a/snipejunction/components/gateway/messages.py
+++ b/snipejunction/components/gateway/messages.py
@@ -6,6 +6,7 @@
 from snipejunction.helpers.records import Record
 from snipejunction.helpers.wire import wire
 from snipejunction.messages import PeerMessage
+from snipejunction.timers import NEVER
 
 
 class PartsMessage(PeerMessage):
@@ -14,7 +15,7 @@
     __slots__ = ('call_id',)
 
 
-@wire(154)
+@wire(154, optional_fields=1)
 class PartsRequest(PartsMessage):
     """Request for parts from searchers in the receiver's data centre."""
 
@@ -39,7 +40,7 @@
         top: int,
         time_left: float,
         merge_after: float,
-        limited: list[int],
+        limited: tuple[int, ...] = (),
     ) -> None:
         """Create a call.
 
@@ -61,14 +62,14 @@
         self.limited = limited
 
 
-@wire(155)
+@wire(155, optional_fields=1)
 class PartReport(Record):
     """The outcome of the part at ``position`` in the call.
 
     ``fate`` is the value of an ``OutcomeKind``. ``status`` and ``signature``
     are those of the searcher's answer, 0 and empty without one. ``seconds``
     is how long the searcher took. ``stated_limit`` is the request rate that
-    it stated, None if it did not answer.
+    it stated, infinite if it stated none or did not answer.
     """
 
     __slots__ = (
@@ -89,7 +90,7 @@
         signature: str,
         seconds: float,
         detail: str,
-        stated_limit: float | None = None,
+        stated_limit: float = NEVER,
     ) -> None:
         """Create a report."""
         self.position = position
--- a/snipejunction/components/gateway/relayed.py
+++ b/snipejunction/components/gateway/relayed.py
@@ -153,6 +153,7 @@
         self, position: int, outcome: Outcome, seconds: float
     ) -> None:
         reply = outcome.reply
+        limit = outcome.stated_limit
         if outcome.valid_reply is not None:
             self._bodies.append(outcome.valid_reply.body)
         self._reports.append(
@@ -163,7 +164,7 @@
                 '' if reply is None else reply.signature,
                 seconds,
                 outcome.detail,
-                outcome.stated_limit,
+                NEVER if limit is None else limit,
             ),
         )
 
--- a/snipejunction/components/owner/peer_messages.py
+++ b/snipejunction/components/owner/peer_messages.py
@@ -8,6 +8,7 @@
 from snipejunction.helpers.records import Record
 from snipejunction.helpers.wire import wire
 from snipejunction.messages import PeerMessage
+from snipejunction.timers import NEVER
 from snipejunction.verdict import Refusal
 
 _FORWARD_TYPE: Final = 70
@@ -41,7 +42,7 @@
         self.refusal = refusal
 
 
-@wire(_LEARNED_TYPE)
+@wire(_LEARNED_TYPE, optional_fields=1)
 class LearnedState(Record):
     """The state of a searcher that an owner hands over.
 
@@ -75,7 +76,7 @@
         mean: float,
         high: float,
         settings_revision: int,
-        stated_limit: float,
+        stated_limit: float = NEVER,
     ) -> None:
         """Create an entry of a hand-over."""
         self.announcement = announcement
--- a/snipejunction/edge/gateway/relay_calls.py
+++ b/snipejunction/edge/gateway/relay_calls.py
@@ -90,11 +90,11 @@
             command.top,
             command.deadline - self._loop.time(),
             command.merge_after,
-            [
+            tuple(
                 position
                 for position, attempt in enumerate(command.attempts)
                 if attempt.upstream.stated_limit < NEVER
-            ],
+            ),
         )
         self._peers.send(command.relay, request)
         return call
--- a/snipejunction/helpers/wire.py
+++ b/snipejunction/helpers/wire.py
@@ -4,6 +4,11 @@
 the order of the constructor. Nested records are arrays of their fields; their
 type follows from the annotation. Every value is checked against the
 constructor's annotations before a record is created.
+
+The last fields of a type may be optional: they are left out if all of them
+have the default values of the constructor. So hosts of a release that does not
+know them exchange messages with hosts of the next one, as long as their values
+are the defaults.
 """
 
 from __future__ import annotations
@@ -43,21 +48,30 @@
 _types: Final[dict[int, type]] = {}
 _numbers: Final[dict[type, int]] = {}
 _codecs: Final[_CodecTable] = {}
+# Default values of the optional fields of each type that has any.
+_optional: Final[dict[type, list[Any]]] = {}
 
 
 class _WireTypeRegistration:
     """Class decorator that registers a record type under its number."""
 
-    __slots__ = ('_number',)
+    __slots__ = ('_number', '_optional_fields')
 
-    def __init__(self, number: int) -> None:
+    def __init__(self, number: int, optional_fields: int) -> None:
         self._number = number
+        self._optional_fields = optional_fields
 
     def __call__(self, record_type: _RecordType) -> _RecordType:
         if self._number in _types:
             raise ValueError(f'wire type {self._number} is already registered')
         _types[self._number] = record_type
         _numbers[record_type] = self._number
+        if self._optional_fields:
+            signature = inspect.signature(record_type)
+            defaults = [
+                argument.default for argument in signature.parameters.values()
+            ]
+            _optional[record_type] = defaults[-self._optional_fields :]
         return record_type
 
 
@@ -78,9 +92,12 @@
         return unpack_fields(self._record_type, part)
 
 
-def wire(number: int) -> _WireTypeRegistration:
-    """Return a decorator that registers a record class under ``number``."""
-    return _WireTypeRegistration(number)
+def wire(number: int, optional_fields: int = 0) -> _WireTypeRegistration:
+    """Return a decorator that registers a record class under ``number``.
+
+    ``optional_fields`` is the number of its last fields that are optional.
+    """
+    return _WireTypeRegistration(number, optional_fields)
 
 
 def registered_types() -> dict[int, type]:
@@ -133,7 +150,7 @@
 def pack_fields(record: object) -> list[Any]:
     """Return the fields of a record in their msgpack representation."""
     packed = []
-    for name, codec in _codecs_for(type(record)):
+    for name, codec in _codecs_to_send(record):
         value = getattr(record, name)
         packed.append(value if codec.is_plain else codec.pack(value))
     return packed
@@ -147,12 +164,17 @@
     """
     codecs = _codecs_for(record_type)
     name = record_type.__name__
-    if not isinstance(parts, list) or len(parts) != len(codecs):
+    if not isinstance(parts, list):
+        raise WireError(f'{name}: expected an array')
+    missing = len(codecs) - len(parts)
+    if missing not in {0, len(_optional.get(record_type, ()))}:
         raise WireError(f'{name}: wrong number of fields')
     try:
         arguments = [
             codec.unpack(part)
-            for (_, codec), part in zip(codecs, parts, strict=True)
+            for (_, codec), part in zip(
+                codecs[: len(parts)], parts, strict=True
+            )
         ]
     except WireError as error:
         raise WireError(f'{name}: {error}') from error
@@ -166,6 +188,17 @@
         )
 
 
+def _codecs_to_send(record: object) -> _NamedCodecs:
+    """Return the codecs of a record without optional fields that say nothing."""
+    codecs = _codecs_for(type(record))
+    defaults = _optional.get(type(record))
+    if defaults is None:
+        return codecs
+    required = len(codecs) - len(defaults)
+    values = [getattr(record, name) for name, _ in codecs[required:]]
+    return codecs[:required] if values == defaults else codecs
+
+
 def _codecs_for(record_type: Any) -> _NamedCodecs:
     codecs = _codecs.get(record_type)
     if codecs is None:
--- a/tests/components/gateway/test_relayed.py
+++ b/tests/components/gateway/test_relayed.py
@@ -43,10 +43,10 @@
         for shard in SHARDS:
             report_searchers(self.table, make_record(f'{shard}-a', shard))
 
-    def start_call(self, limited: list[int] | None = None) -> None:
+    def start_call(self, limited: tuple[int, ...] = ()) -> None:
         searchers = [f'{shard}-a' for shard in SHARDS]
         request = PartsRequest(
-            5, 'id', b'', b'', searchers, 2, 1, 0.05, limited or []
+            5, 'id', b'', b'', searchers, 2, 1, 0.05, limited
         )
         request.sender = 'asker'
         self.call = RelayedCall(request, self.table, 10)
@@ -163,5 +163,5 @@
     def test_caller_host_observes_the_limit(self) -> None:
         """A part within the caller's share is sent."""
         self.table.upstreams['s1-a'].stated_limit = 3.0
-        self.start_call(limited=[1])
+        self.start_call(limited=(1,))
         self.assertThat(self.sent_parts, HasLength(3))
--- a/tests/helpers/test_wire.py
+++ b/tests/helpers/test_wire.py
@@ -8,6 +8,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals, Raises, MatchesException
 
+from snipejunction.components.gateway.messages import PartReport
 from snipejunction.components.owner.messages import (
     SnapshotId,
     SubBatch,
@@ -33,6 +34,17 @@
         )
         self.assertThat(decode(encode(results)), Equals(results))
 
+    def test_optional_fields(self) -> None:
+        """Fields that an earlier release lacks are sent if they say more."""
+        plain = PartReport(3, 'answered', 200, 'sig', 0.1, '')
+        frame = msgpack.packb([1, 155, 3, 'answered', 200, 'sig', 0.1, ''])
+        self.assertThat(encode(plain), Equals(frame))
+        self.assertThat(decode(frame), Equals(plain))
+        limited = PartReport(3, 'answered', 200, 'sig', 0.1, '', 2.5)
+        self.assertThat(decode(encode(limited)), Equals(limited))
+        too_short = msgpack.packb([1, 155, 3, 'answered', 200, 'sig', 0.1])
+        self.assertThat(lambda: decode(too_short), _raises_wire_error)
+
     def test_wrong_field_type(self) -> None:
         """A string in place of a list is rejected."""
         frame = msgpack.packb([1, 66, 'results'])
