--- a/snipejunction/helpers/wire.py
+++ b/snipejunction/helpers/wire.py
@@ -189,7 +189,7 @@
 
 
 def _codecs_to_send(record: object) -> _NamedCodecs:
-    """Return the codecs of a record without optional fields that say nothing."""
+    """Return the codecs of a record without optional fields at defaults."""
     codecs = _codecs_for(type(record))
     defaults = _optional.get(type(record))
     if defaults is None:
