End a run of the soak that does not end; write its faults at once

Change: each fault is written when it comes, and a run that takes three minutes longer than its faults is a violation, with its logs kept.

--- a/tests/soak/driver.py
+++ b/tests/soak/driver.py
@@ -30,15 +30,16 @@
 class FaultInjector:
     """Injects random faults and reverts each of them after a while."""
 
-    def __init__(self, environment: SoakEnvironment) -> None:
+    def __init__(self, environment: SoakEnvironment, log: Path) -> None:
+        """Create an injector that writes each fault to a file at once."""
         self._environment = environment
+        self._log = log
         self._random = environment.random
         self._locks = {
             machine.zone: asyncio.Lock()
             for machine in environment.site.machines
         }
         self._wipes = asyncio.Lock()
-        self.log: list[str] = []
 
     async def async_run(self, seconds: float) -> None:
         """Inject faults for ``seconds`` and wait until all are reverted."""
@@ -69,7 +70,8 @@
 
     def log_fault(self, text: str) -> None:
         """Record a fault with its time."""
-        self.log.append(f'{self._environment.now:.2f} {text}')
+        with self._log.open('a') as log:
+            log.write(f'{self._environment.now:.2f} {text}\n')
 
     @asynccontextmanager
     async def _disrupting(self) -> AsyncIterator[None]:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -18,6 +18,8 @@
 # A seed uses the loopback addresses 127.0.BLOCK.1 and following.
 FIRST_BLOCK = 100
 BLOCKS = 100
+# Time after the last fault within which a run ends.
+MAX_END_SECONDS = 180
 # Violations of one run that are printed.
 MAX_PRINTED_VIOLATIONS = 20
 FAILED_RUNS_FOLDER = Path('build/soak')
@@ -32,13 +34,16 @@
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
         async with SoakEnvironment(folder, block, seed) as environment:
-            driver = FaultInjector(environment)
-            await driver.async_run(seconds)
-            await environment.async_check_end()
+            driver = FaultInjector(environment, folder / 'faults.log')
+            try:
+                async with asyncio.timeout(seconds + MAX_END_SECONDS):
+                    await driver.async_run(seconds)
+                    await environment.async_check_end()
+            except TimeoutError:
+                environment.checker.add_violation('the run does not end')
             environment.checker.check_final()
-        summary = f'statuses {dict(environment.checker.statuses)}'
+            driver.log_fault(f'end, {dict(environment.checker.statuses)}')
         violations = list(environment.checker.violations)
-        (folder / 'faults.log').write_text('\n'.join([*driver.log, summary]))
         if violations:
             kept = FAILED_RUNS_FOLDER / f'seed-{seed}'
             shutil.rmtree(kept, ignore_errors=True)
