Bound the memory of a high stated limit

Found while reading the change: the log of a host that learns of a limit was filled with all requests of its share, so a searcher that states a million requests per second cost millions of entries at its owner, and 1e308 raised an error in the handler.

Change: at most the last 100 requests are filled in, and a rate above a million per second, which nobody can reach, is no limit.

Result: both tests fail without the change and pass with it.

--- a/snipejunction/helpers/rates.py
+++ b/snipejunction/helpers/rates.py
@@ -21,6 +21,11 @@
 # Longest time between two requests to an upstream, however low its limit, in
 # seconds: only an answer can tell that the limit has ended.
 MAX_INTERVAL_SECONDS: Final = 30.0
+# Rate from which on a limit bounds nothing: more than one searcher can get, in
+# requests per second.
+UNREACHABLE_RATE: Final = 1e6
+# Requests that a log of a share that counts as used holds at most.
+MAX_FILLED_REQUESTS: Final = 100
 # Rounding errors of rates, in requests, and of times, in seconds.
 _ROUNDING_ERROR: Final = 1e-6
 
@@ -47,7 +52,8 @@
 def parse_rate(text: str) -> float:
     """Return the rate in a header, ``NEVER`` for an empty text.
 
-    The rate is not a number if the text is neither zero nor a positive one.
+    The rate is not a number if the text is neither zero nor a positive one,
+    and ``NEVER`` above ``UNREACHABLE_RATE``.
     """
     if not text:
         return NEVER
@@ -55,7 +61,9 @@
         rate = float(text)
     except ValueError:
         return math.nan
-    return rate if 0 <= rate < NEVER else math.nan
+    if not 0 <= rate < NEVER:
+        return math.nan
+    return NEVER if rate > UNREACHABLE_RATE else rate
 
 
 def requests_per_window(limit: float) -> int:
@@ -87,15 +95,20 @@
         """Create an empty log."""
         self._sent_at: deque[float] = deque()
 
+    def __len__(self) -> int:
+        """Return the number of requests in the log."""
+        return len(self._sent_at)
+
     def fill(self, share: RateShare, phase: float, now: float) -> None:
         """Replace the log by one of a host that has used its share evenly.
 
         ``phase`` is how much of an interval is left until the next request
-        may be sent, above 0 and up to 1.
+        may be sent, above 0 and up to 1. Only the last requests are logged.
         """
+        first = max(0, share.requests - MAX_FILLED_REQUESTS)
         self._sent_at = deque(
             now - share.seconds + (number + phase) * share.interval
-            for number in range(share.requests)
+            for number in range(first, share.requests)
         )
 
     def count(self, now: float) -> None:
--- a/tests/helpers/test_rates.py
+++ b/tests/helpers/test_rates.py
@@ -30,6 +30,11 @@
         for text, rate in (('0', 0.0), ('0.25', 0.25), (' 17 ', 17.0)):
             self.assertThat(parse_rate(text), Equals(rate))
 
+    def test_beyond_any_load(self) -> None:
+        """A rate that nobody can reach is no limit."""
+        for text in ('1e7', '1e308'):
+            self.assertThat(parse_rate(text), Equals(NEVER))
+
     def test_unreadable(self) -> None:
         """Anything else is not a number."""
         for text in ('-1', 'inf', 'nan', 'many', '1,5', '\x00'):
@@ -103,6 +108,14 @@
                 sent += 1
         self.assertThat(sent, Equals(80))
 
+    def test_high_rate(self) -> None:
+        """The log of a high rate that was just stated is short."""
+        share = share_of_host(1e6, 1, 0)
+        log = SendLog()
+        log.fill(share, 1, 100)
+        self.assertThat(len(log), LessThan(1000))
+        self.assertThat(log.wait(share, 0, 100.001), Equals(0))
+
     def test_phases(self) -> None:
         """Hosts with one request each send at different times."""
         share = RateShare(1, LIMIT_WINDOW_SECONDS)
