--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,9 +13,15 @@
 import lib
 
 SERVICE = 'kafi81c'
-# A writer that cuts a name inside of a character: half of a surrogate pair.
-# JSON can say it, UTF-8 cannot.
-FOREIGN_SERVICE = 'toy shop \\ud83c'
+# What other writers say of themselves, one in each zone. None names a service of
+# the configuration. The first cuts a name inside of a character: half of a
+# surrogate pair, which JSON can say and UTF-8 cannot. The second gives a number
+# that is no count of slots, the third both.
+FOREIGN_FIELDS = (
+    '"service":"toy shop \\ud83c","slots":1',
+    '"service":"toy-shop","slots":18446744073709551616',
+    '"service":"\\udf81 toy shop","slots":18446744073709551616',
+)
 HAS_FOREIGN = lib.TROUBLE and lib.os.environ.get('FOREIGN', '1') != '0'
 HAS_FREEZE = lib.TROUBLE and lib.os.environ.get('FREEZE', '1') != '0'
 WARM_UP_SECONDS = 3
@@ -23,20 +29,19 @@
 LEAVE_AFTER_SECONDS = 2.0
 # How long the searcher serves after the acknowledgement.
 SERVE_SECONDS = 18.0
-CLIENTS = 12
-INTERVAL_SECONDS = 0.08
-REQUESTS_PER_CONNECTION = 10
+CLIENTS = 16
+INTERVAL_SECONDS = 0.25
+REQUESTS_PER_CONNECTION = 6
 
 
-async def send_foreign_heartbeats(group, machine) -> None:
+async def send_foreign_heartbeats(group, machine, fields) -> None:
     """Announce an entry that names no service of the configuration."""
     sequence = 0
     while True:
         sequence += 1
         body = (
-            f'{{"service":"{FOREIGN_SERVICE}",'
-            f'"address":"127.0.0.1:9","zone":"{machine.zone}",'
-            '"version":"v1","slots":1,"state":"ready","coldLeftMs":0,'
+            f'{{{fields},"address":"127.0.0.1:9","zone":"{machine.zone}",'
+            '"version":"v1","state":"ready","coldLeftMs":0,'
             f'"sequence":{sequence},"born":1700000000000}}'
         ).encode()
         answer = await lib.Connection(machine.ip, machine.control).request(
@@ -123,7 +128,7 @@
     frozen = group.machines[3]
     searchers = [
         lib.Searcher(
-            group, f'i-{number}', SERVICE, lib.ZONES[0], lambda request: 0.01
+            group, f'i-{number}', SERVICE, lib.ZONES[0], lambda request: 0.005
         )
         for number in range(3)
     ]
@@ -138,8 +143,8 @@
     ]
     if HAS_FOREIGN:
         tasks += [
-            asyncio.create_task(send_foreign_heartbeats(group, machine))
-            for machine in group.controls
+            asyncio.create_task(send_foreign_heartbeats(group, machine, fields))
+            for machine, fields in zip(group.controls, FOREIGN_FIELDS)
         ]
     thawed = -100.0
     try:
--- a/review/lib.py
+++ b/review/lib.py
@@ -367,6 +367,10 @@
         self.port = self._server.sockets[0].getsockname()[1]
         self._beats = asyncio.create_task(self._announce())
 
+    def stop_beats(self) -> None:
+        """Send no more heartbeats."""
+        self._beats.cancel()
+
     async def close(self) -> None:
         """End."""
         if self._beats is not None:
