--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,7 @@
-"""A searcher in trouble sends trailer lines without end."""
+"""A searcher leaves while an entry host is frozen; a foreign heartbeat."""
 
 import asyncio
-import contextlib
+import json
 import random
 import signal
 import sys
@@ -12,172 +12,194 @@
 
 import lib
 
-SOUND_SERVICE = 'kafi81c'
-SICK_SERVICE = 'huvo11a'
-MEMORY_MB = 300
-POLL_SECONDS = 0.01
-# Pause until the platform starts a process again that it killed.
-RESTART_SECONDS = 0.3
-WARM_UP_SECONDS = 3.0
-RUN_SECONDS = 25.0
-# Clients of the sound service and of the one with the sick searcher.
-CLIENTS = 48
-SICK_CLIENTS = 18
-INTERVAL_SECONDS = 0.2
-LINES = b'x:y\r\n' * 4096
-
-
-class SickSearcher(lib.Searcher):
-    """A searcher whose answers do not end, until the caller closes."""
-
-    is_sick = False
-
-    async def answer(self, request, writer) -> None:
-        """Send an answer; its last chunk is followed by lines without end."""
-        if not self.is_sick:
-            await super().answer(request, writer)
-            return
-        fields = {'Transfer-Encoding': 'chunked'}
-        writer.write(self.head(200, request, fields) + b'0\r\n')
-        sent = 0
-        with contextlib.suppress(OSError):
-            while not writer.transport.is_closing():
-                writer.write(LINES)
-                sent += len(LINES)
-                await writer.drain()
-        self._group.record.write(
-            f'searcher {self.id}: sent {sent} bytes as the answer to '
-            f'{request.id} until its connection was closed'
+SERVICE = 'kafi81c'
+# What other writers say of themselves, one in each zone. None names a service of
+# the configuration. The first cuts a name inside of a character: half of a
+# surrogate pair, which JSON can say and UTF-8 cannot. The second gives a number
+# that is no count of slots, the third both.
+FOREIGN_FIELDS = (
+    '"service":"toy shop \\ud83c","slots":1',
+    '"service":"toy-shop","slots":18446744073709551616',
+    '"service":"\\udf81 toy shop","slots":18446744073709551616',
+)
+HAS_FOREIGN = lib.TROUBLE and lib.os.environ.get('FOREIGN', '1') != '0'
+HAS_FREEZE = lib.TROUBLE and lib.os.environ.get('FREEZE', '1') != '0'
+WARM_UP_SECONDS = 3
+FREEZE_SECONDS = 4.0
+LEAVE_AFTER_SECONDS = 2.0
+# How long the searcher serves after the acknowledgement.
+SERVE_SECONDS = 18.0
+CLIENTS = 16
+INTERVAL_SECONDS = 0.25
+REQUESTS_PER_CONNECTION = 6
+
+
+async def send_foreign_heartbeats(group, machine, fields) -> None:
+    """Announce an entry that names no service of the configuration."""
+    sequence = 0
+    while True:
+        sequence += 1
+        body = (
+            f'{{{fields},"address":"127.0.0.1:9","zone":"{machine.zone}",'
+            '"version":"v1","state":"ready","coldLeftMs":0,'
+            f'"sequence":{sequence},"born":1700000000000}}'
+        ).encode()
+        answer = await lib.Connection(machine.ip, machine.control).request(
+            'POST',
+            f'/Instances.Heartbeat/foreign-{machine.zone}',
+            {'Content-Type': 'application/json'},
+            body,
+            keep=False,
+        )
+        group.record.write(
+            f'foreign writer: heartbeat {sequence} to {machine.name}: '
+            f'{answer.status or answer.detail}'
         )
-        raise ConnectionResetError
+        await asyncio.sleep(lib.HEARTBEAT_MS / 1000)
 
 
-class Platform:
-    """Kills processes that use more memory than the machine gives them."""
+class Client:
+    """A client of the first zone, with a kept connection."""
 
-    def __init__(self, group) -> None:
+    def __init__(self, group, sent) -> None:
         self._group = group
-        self.kills = []
-        self.peaks = {machine.name: 0.0 for machine in group.machines}
+        self._sent = sent
+        self._zone = lib.ZONES[0]
+        self._addresses = []
+        self._asked = 0.0
 
     async def run(self) -> None:
-        """Watch the entry processes."""
+        """Send requests one after the other."""
+        connection = None
+        address = None
+        used = 0
         while True:
-            for machine in self._group.machines:
-                process = machine.processes['entry']
-                used = _read_memory_mb(process.pid)
-                peak = max(self.peaks[machine.name], used)
-                self.peaks[machine.name] = peak
-                if used > MEMORY_MB and process.returncode is None:
-                    self._group.record.write(
-                        f'platform: entry of {machine.name} uses {used:.0f} '
-                        f'MB, {MEMORY_MB} are allowed'
-                    )
-                    machine.signal(signal.SIGKILL, 'entry')
-                    self.kills.append((time.monotonic(), machine))
-                    asyncio.create_task(self._restart(machine))
-                    await machine.wait('entry')
-            await asyncio.sleep(POLL_SECONDS)
-
-    async def _restart(self, machine) -> None:
-        await asyncio.sleep(RESTART_SECONDS)
-        await machine.restart('entry')
-
-
-def _read_memory_mb(pid: int) -> float:
-    with contextlib.suppress(OSError):
-        for line in Path(f'/proc/{pid}/status').read_text().splitlines():
-            if line.startswith('VmRSS:'):
-                return int(line.split()[1]) / 1024
-    return 0.0
-
-
-async def send_requests(group, method, path, cut) -> None:
-    """Send requests on a kept connection, as a client does."""
-    machine = random.choice(group.machines)
-    connection = lib.Connection(machine.ip, machine.front)
-    count = 0
-    while True:
-        headers = lib.request_headers(3000)
-        name = headers['X-Snipejunction-Request-Id']
-        is_kept = count > 0
-        answer = await connection.request(method, path, headers, seconds=3.2)
-        group.record.write(
-            f'client: {name} by {machine.name}: '
-            f'{answer.status or answer.detail}'
+            await self._resolve()
+            if not self._addresses:
+                await asyncio.sleep(0.2)
+                continue
+            if connection is None or address not in self._addresses:
+                address = random.choice(self._addresses)
+                connection = lib.Connection(*address)
+            headers = lib.request_headers(3000)
+            name = headers['X-Snipejunction-Request-Id']
+            self._sent[name] = (address[0], time.monotonic())
+            answer = await connection.request(
+                'GET', '/goka902/2f', headers, seconds=1.0
+            )
+            self._group.record.write(
+                f'client: {name} by {address[0]}: '
+                f'{answer.status or answer.detail}'
+            )
+            used += 1
+            if not connection.is_open or used >= REQUESTS_PER_CONNECTION:
+                connection.close()
+                connection = None
+                used = 0
+            await asyncio.sleep(INTERVAL_SECONDS * random.uniform(0.5, 1.5))
+
+    async def _resolve(self) -> None:
+        if self._addresses and time.monotonic() < self._asked + 2:
+            return
+        machine = random.choice(self._group.controls)
+        path = f'/resolve?name={lib.HOST}&region=lagos&zone={self._zone}'
+        answer = await lib.Connection(machine.ip, machine.port + 5).request(
+            'GET', path, keep=False
         )
-        count += 1
-        if not answer.status and (
-            'closed' in answer.detail or 'Reset' in answer.detail
-        ):
-            if is_kept:
-                cut.append((time.monotonic(), name, machine))
-        if not connection.is_open:
-            machine = random.choice(group.machines)
-            connection = lib.Connection(machine.ip, machine.front)
-            count = 0
-        await asyncio.sleep(INTERVAL_SECONDS * random.uniform(0.5, 1.5))
+        if answer.status == 200:
+            texts = json.loads(answer.body)['addrs']
+            pairs = [text.split(':') for text in texts]
+            self._addresses = [(ip, int(port)) for ip, port in pairs]
+            self._asked = time.monotonic()
+
+
+def write_logs(group, frozen, leaving) -> None:
+    """Copy log lines about the searcher and dropped messages."""
+    for line in frozen.log_text('entry').splitlines():
+        if '"event": 942' in line and f'"{leaving.id}"' in line:
+            group.record.write(f'log of {frozen.name}: {line}')
+    for machine in group.controls:
+        for line in machine.log_text('control').splitlines():
+            if '"event": 807' in line and frozen.ip in line:
+                group.record.write(f'log of {machine.name}: {line}')
 
 
 async def case(group) -> bool:
-    sound = [
+    frozen = group.machines[3]
+    searchers = [
         lib.Searcher(
-            group, f'i-sound-{zone}', SOUND_SERVICE, zone, lambda request: 0.22
-        )
-        for zone in lib.ZONES
-    ]
-    sick = [
-        SickSearcher(
-            group, f'i-sick-{zone}', SICK_SERVICE, zone, lambda request: 0.02
+            group, f'i-{number}', SERVICE, lib.ZONES[0], lambda request: 0.005
         )
-        for zone in lib.ZONES
-    ]
-    await group.add(*sound, *sick)
-    routes = [
-        lib.route('r-sound', '/goka902/', service=SOUND_SERVICE),
-        lib.route('r-sick', '/nono601/', kind='unsafe', service=SICK_SERVICE),
+        for number in range(3)
     ]
-    services = [lib.service(SOUND_SERVICE), lib.service(SICK_SERVICE)]
-    await group.configure(7, routes, services)
+    leaving = searchers[0]
+    await group.add(*searchers)
+    query = lib.route('r-history', '/goka902/', service=SERVICE)
+    await group.configure(7, [query], [lib.service(SERVICE)])
     await group.wait_ready()
-    platform = Platform(group)
-    cut = []
-    ignored = []
-    tasks = [asyncio.create_task(platform.run())]
-    tasks += [
-        asyncio.create_task(send_requests(group, 'GET', '/goka902/2f', cut))
-        for _ in range(CLIENTS)
-    ]
-    tasks += [
-        asyncio.create_task(
-            send_requests(group, 'POST', '/nono601/2f', ignored)
-        )
-        for _ in range(SICK_CLIENTS)
+    sent = {}
+    tasks = [
+        asyncio.create_task(Client(group, sent).run()) for _ in range(CLIENTS)
     ]
+    if HAS_FOREIGN:
+        tasks += [
+            asyncio.create_task(send_foreign_heartbeats(group, machine, fields))
+            for machine, fields in zip(group.controls, FOREIGN_FIELDS)
+        ]
+    thawed = -100.0
     try:
         await asyncio.sleep(WARM_UP_SECONDS)
-        # One searcher of one service is in trouble.
-        sick[0].is_sick = lib.TROUBLE
-        await asyncio.sleep(RUN_SECONDS)
+        if HAS_FREEZE:
+            frozen.signal(signal.SIGSTOP)
+        start = time.monotonic()
+        await asyncio.sleep(LEAVE_AFTER_SECONDS)
+        leaving.state = 'draining'
+        while not await leaving.beat():
+            await asyncio.sleep(0.05)
+        acknowledged = time.monotonic()
+        group.record.write(f'{leaving.id}: its draining is acknowledged')
+        await asyncio.sleep(start + FREEZE_SECONDS - time.monotonic())
+        if HAS_FREEZE:
+            frozen.signal(signal.SIGCONT)
+            thawed = time.monotonic()
+        await asyncio.sleep(acknowledged + SERVE_SECONDS - time.monotonic())
     finally:
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-    runs = {request.id for searcher in sound for _, request in searcher.runs}
-    lost = [name for _, name, _ in cut if name in runs]
-    peaks = {name: round(peak) for name, peak in platform.peaks.items()}
-    group.record.verdict(f'peak memory of the entry processes in MB: {peaks}')
+    # Machines are in touch again contactMs after the end of the freeze.
+    in_touch = thawed + lib.BOUNDS['contactMs'] / 1000
+    limit = acknowledged + lib.BOUNDS['drainMs'] / 1000
+    late = []
+    excused = 0
+    for arrived, request in leaving.runs:
+        address, taken = sent.get(request.id, ('', 0.0))
+        if arrived <= limit:
+            continue
+        if address == frozen.ip and taken <= in_touch:
+            excused += 1
+        else:
+            late.append((arrived, address))
+    by_machine = {}
+    for _, address in late:
+        by_machine[address] = by_machine.get(address, 0) + 1
+    all_late = sum(arrived > limit for arrived, _ in leaving.runs)
+    last = max((arrived for arrived, _ in late), default=limit)
     group.record.verdict(
-        f'entry processes killed for their memory: {len(platform.kills)}'
+        f'{all_late} requests reached {leaving.id} later than drainMs after '
+        f'its draining was acknowledged; {excused} of them by the machine '
+        f'that had been frozen and was not in touch yet'
     )
     group.record.verdict(
-        f'{len(lost)} requests from kept connections were passed on to a '
-        f'sound searcher, and their connections were closed without an answer'
+        f'by machines in touch: {len(late)} {by_machine}, the last one '
+        f'{last - acknowledged:.1f} s after the acknowledgement'
     )
-    if not runs:
+    write_logs(group, frozen, leaving)
+    others = sum(len(searcher.runs) for searcher in searchers[1:])
+    if not others:
         raise lib.CannotRun('nothing was served')
-    return len(lost) > 3
+    return bool(late)
 
 
 if __name__ == '__main__':
-    lib.main(case, Path(__file__).resolve().parent)
+    lib.main(case, Path(__file__).resolve().parent, machines=4)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
-"""A planned stop while requests are at work at a searcher."""
+"""A searcher in trouble sends trailer lines without end."""
 
 import asyncio
+import contextlib
 import random
 import signal
 import sys
@@ -11,120 +12,171 @@
 
 import lib
 
-SERVICE = 'kafi81c'
-# The normal work of a request, and the objective and the time-out of its
-# route. No request comes near its time-out.
-WORK_SECONDS = (1.4, 1.9)
-ROUTE = {'sloMs': 6000, 'timeoutMs': 15000}
-CLIENTS = 36
-WARM_UP_SECONDS = 12.0
+SOUND_SERVICE = 'kafi81c'
+SICK_SERVICE = 'huvo11a'
+MEMORY_MB = 300
+POLL_SECONDS = 0.01
+# Pause until the platform starts a process again that it killed.
+RESTART_SECONDS = 0.3
+WARM_UP_SECONDS = 3.0
+RUN_SECONDS = 25.0
+# Clients of the sound service and of the one with the sick searcher.
+CLIENTS = 48
+SICK_CLIENTS = 18
+INTERVAL_SECONDS = 0.2
+LINES = b'x:y\r\n' * 4096
 
 
-class Client:
-    """A client that keeps its connection to the machine that is stopped."""
+class SickSearcher(lib.Searcher):
+    """A searcher whose answers do not end, until the caller closes."""
 
-    def __init__(self, group, machine, cut) -> None:
+    is_sick = False
+
+    async def answer(self, request, writer) -> None:
+        """Send an answer; its last chunk is followed by lines without end."""
+        if not self.is_sick:
+            await super().answer(request, writer)
+            return
+        fields = {'Transfer-Encoding': 'chunked'}
+        writer.write(self.head(200, request, fields) + b'0\r\n')
+        sent = 0
+        with contextlib.suppress(OSError):
+            while not writer.transport.is_closing():
+                writer.write(LINES)
+                sent += len(LINES)
+                await writer.drain()
+        self._group.record.write(
+            f'searcher {self.id}: sent {sent} bytes as the answer to '
+            f'{request.id} until its connection was closed'
+        )
+        raise ConnectionResetError
+
+
+class Platform:
+    """Kills processes that use more memory than the machine gives them."""
+
+    def __init__(self, group) -> None:
         self._group = group
-        self._machine = machine
-        self._cut = cut
-        self._last_sent = None
-
-    async def run(self, end) -> None:
-        """Send requests one after the other until a time."""
-        connection = lib.Connection(self._machine.ip, self._machine.front)
-        while time.monotonic() < end['at']:
-            headers = lib.request_headers(15000)
-            name = headers['X-Snipejunction-Request-Id']
-            sent = time.monotonic()
-            answer = await connection.request(
-                'GET', '/goka902/2f', headers, seconds=15.0
-            )
-            self._group.record.write(
-                f'client: {name} by {self._machine.name}, sent '
-                f'{time.monotonic() - sent:.2f} s ago: '
-                f'{answer.status or answer.detail}'
-            )
-            if not answer.status:
-                self._cut.append((name, sent, time.monotonic()))
-                if 'refused' in answer.detail.lower():
-                    return
-            await asyncio.sleep(random.uniform(0.0, 0.3))
+        self.kills = []
+        self.peaks = {machine.name: 0.0 for machine in group.machines}
+
+    async def run(self) -> None:
+        """Watch the entry processes."""
+        while True:
+            for machine in self._group.machines:
+                process = machine.processes['entry']
+                used = _read_memory_mb(process.pid)
+                peak = max(self.peaks[machine.name], used)
+                self.peaks[machine.name] = peak
+                if used > MEMORY_MB and process.returncode is None:
+                    self._group.record.write(
+                        f'platform: entry of {machine.name} uses {used:.0f} '
+                        f'MB, {MEMORY_MB} are allowed'
+                    )
+                    machine.signal(signal.SIGKILL, 'entry')
+                    self.kills.append((time.monotonic(), machine))
+                    asyncio.create_task(self._restart(machine))
+                    await machine.wait('entry')
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def _restart(self, machine) -> None:
+        await asyncio.sleep(RESTART_SECONDS)
+        await machine.restart('entry')
+
+
+def _read_memory_mb(pid: int) -> float:
+    with contextlib.suppress(OSError):
+        for line in Path(f'/proc/{pid}/status').read_text().splitlines():
+            if line.startswith('VmRSS:'):
+                return int(line.split()[1]) / 1024
+    return 0.0
+
+
+async def send_requests(group, method, path, cut) -> None:
+    """Send requests on a kept connection, as a client does."""
+    machine = random.choice(group.machines)
+    connection = lib.Connection(machine.ip, machine.front)
+    count = 0
+    while True:
+        headers = lib.request_headers(3000)
+        name = headers['X-Snipejunction-Request-Id']
+        is_kept = count > 0
+        answer = await connection.request(method, path, headers, seconds=3.2)
+        group.record.write(
+            f'client: {name} by {machine.name}: '
+            f'{answer.status or answer.detail}'
+        )
+        count += 1
+        if not answer.status and (
+            'closed' in answer.detail or 'Reset' in answer.detail
+        ):
+            if is_kept:
+                cut.append((time.monotonic(), name, machine))
+        if not connection.is_open:
+            machine = random.choice(group.machines)
+            connection = lib.Connection(machine.ip, machine.front)
+            count = 0
+        await asyncio.sleep(INTERVAL_SECONDS * random.uniform(0.5, 1.5))
 
 
 async def case(group) -> bool:
-    stopped = group.machines[0]
-    searchers = [
+    sound = [
         lib.Searcher(
-            group,
-            f'i-{zone}',
-            SERVICE,
-            zone,
-            lambda request: random.uniform(*WORK_SECONDS),
-            slots=16,
+            group, f'i-sound-{zone}', SOUND_SERVICE, zone, lambda request: 0.22
         )
         for zone in lib.ZONES
     ]
-    await group.add(*searchers)
-    query = lib.route('r-history', '/goka902/', service=SERVICE, **ROUTE)
-    await group.configure(7, [query], [lib.service(SERVICE)])
+    sick = [
+        SickSearcher(
+            group, f'i-sick-{zone}', SICK_SERVICE, zone, lambda request: 0.02
+        )
+        for zone in lib.ZONES
+    ]
+    await group.add(*sound, *sick)
+    routes = [
+        lib.route('r-sound', '/goka902/', service=SOUND_SERVICE),
+        lib.route('r-sick', '/nono601/', kind='unsafe', service=SICK_SERVICE),
+    ]
+    services = [lib.service(SOUND_SERVICE), lib.service(SICK_SERVICE)]
+    await group.configure(7, routes, services)
     await group.wait_ready()
+    platform = Platform(group)
     cut = []
-    grace = lib.BOUNDS['graceS']
-    end = {'at': time.monotonic() + WARM_UP_SECONDS + grace}
-    tasks = [
-        asyncio.create_task(Client(group, stopped, cut).run(end))
+    ignored = []
+    tasks = [asyncio.create_task(platform.run())]
+    tasks += [
+        asyncio.create_task(send_requests(group, 'GET', '/goka902/2f', cut))
         for _ in range(CLIENTS)
     ]
-    await asyncio.sleep(WARM_UP_SECONDS)
-    stop = time.monotonic()
-    if lib.TROUBLE:
-        stopped.signal(signal.SIGTERM)
-        # The directory no longer names the machine; clients use what they
-        # know for ttl_s of 2 s, some for three times as long.
-        end['at'] = stop + 3.8
-        ended = await _wait_for_end(stopped, stop, grace)
-        group.record.verdict(
-            f'the processes had ended {ended - stop:.2f} s after SIGTERM, '
-            f'{grace} s are allowed'
-        )
-    await asyncio.gather(*tasks)
-    runs = {}
-    for searcher in searchers:
-        for at, request in searcher.runs:
-            runs.setdefault(request.id, []).append((at, searcher.id))
-    broken = []
-    for name, sent, closed in cut:
-        if name not in runs or sent < stop - 3:
-            continue
-        # The searcher is at work in the last sixth of graceS only if its
-        # connection is still open then.
-        last_sixth = stop + grace * 5 / 6
-        excused = closed >= last_sixth and sent <= stop + 3
-        times = [f'{at - stop:.2f} s at {where}' for at, where in runs[name]]
-        group.record.verdict(
-            f'{name}: sent {sent - stop:.2f} s after SIGTERM, ran {times}, '
-            f'connection closed without an answer at {closed - stop:.2f} s'
+    tasks += [
+        asyncio.create_task(
+            send_requests(group, 'POST', '/nono601/2f', ignored)
         )
-        if not excused:
-            broken.append(name)
+        for _ in range(SICK_CLIENTS)
+    ]
+    try:
+        await asyncio.sleep(WARM_UP_SECONDS)
+        # One searcher of one service is in trouble.
+        sick[0].is_sick = lib.TROUBLE
+        await asyncio.sleep(RUN_SECONDS)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+    runs = {request.id for searcher in sound for _, request in searcher.runs}
+    lost = [name for _, name, _ in cut if name in runs]
+    peaks = {name: round(peak) for name, peak in platform.peaks.items()}
+    group.record.verdict(f'peak memory of the entry processes in MB: {peaks}')
+    group.record.verdict(
+        f'entry processes killed for their memory: {len(platform.kills)}'
+    )
     group.record.verdict(
-        f'{len(broken)} requests were passed on and their connections ended '
-        f'without an answer'
+        f'{len(lost)} requests from kept connections were passed on to a '
+        f'sound searcher, and their connections were closed without an answer'
     )
     if not runs:
         raise lib.CannotRun('nothing was served')
-    return bool(broken)
-
-
-async def _wait_for_end(machine, stop, grace) -> float:
-    """Wait until the processes end; kill them after the grace period."""
-    try:
-        async with asyncio.timeout(stop + grace - time.monotonic()):
-            await machine.wait()
-    except TimeoutError:
-        machine.signal(signal.SIGKILL)
-        await machine.wait()
-    return time.monotonic()
+    return len(lost) > 3
 
 
 if __name__ == '__main__':
--- a/review/lib.py
+++ b/review/lib.py
@@ -27,6 +27,25 @@
     'enugu-ogui': 'enugu',
 }
 HOST = 'leno12.example'
+# The core of the site ayo-snipe-grown, with the bounds in which it differs.
+GROWN_REGIONS = {
+    'lagos-yaba': 'lagos',
+    'kano-nassarawa': 'kano',
+    'enugu-ogui': 'enugu',
+    'lagos-surulere': 'lagos',
+    'kano-fagge': 'kano',
+    'enugu-abakpa': 'enugu',
+}
+GROWN_BOUNDS = {
+    'contactMs': 6000,
+    'ackMs': 8000,
+    'catchUpS': 6,
+    'drainMs': 4000,
+    'configMs': 4000,
+    'skewMs': 15000,
+    'retrySlack': 206,
+    'recoveryS': 15,
+}
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 # Bounds of the site ayo-snipe, as the settings file of a process holds them.
 BOUNDS = {
@@ -51,6 +70,8 @@
     'ttl_max_s': 5,
 }
 HEARTBEAT_MS = 1200
+# Machines whose control addresses the settings name.
+SEEDS = 3
 # Ports of a machine: two for peers, control, front, ready, directory, metrics.
 PORTS = 8
 
@@ -59,6 +80,20 @@
     """The case could not be set up."""
 
 
+class Site:
+    """What the settings of the processes say of the deployment."""
+
+    def __init__(self, regions, bounds, memory_mb, tolerated_machines):
+        self.regions = regions
+        self.bounds = bounds
+        self.memory_mb = memory_mb
+        self.tolerated_machines = tolerated_machines
+
+
+AYO = Site(REGIONS, BOUNDS, 300, 1)
+AYO_GROWN = Site(GROWN_REGIONS, {**BOUNDS, **GROWN_BOUNDS}, 200, 2)
+
+
 class Record:
     """The file record.txt of a case."""
 
@@ -186,14 +221,17 @@
 class Machine:
     """A machine: the first of each zone has a disk and runs both roles."""
 
-    def __init__(self, number, ips, port, folder, record) -> None:
+    def __init__(self, number, ips, port, folder, record, site) -> None:
         self.ip = ips[number]
-        self.zone = ZONES[number % len(ZONES)]
-        self.name = f'front-{self.zone}-{number // len(ZONES) + 1}'
-        self.has_disk = number < len(ZONES)
+        zones = tuple(site.regions)
+        self.zone = zones[number % len(zones)]
+        self.name = f'front-{self.zone}-{number // len(zones) + 1}'
+        self.has_disk = number < len(zones)
+        self._site = site
         self.port = port
         self.processes = {}
-        self._seed_ips = ips[: len(ZONES)]
+        self._seed_ips = ips[:SEEDS]
+        self.is_seed = number < SEEDS
         self._folder = folder / self.name
         self._folder.mkdir()
         self._record = record
@@ -259,6 +297,11 @@
         self._is_first_start = False
         await self.start(*roles)
 
+    def lose_disk(self) -> None:
+        """Remove the data folder; its processes must have ended."""
+        shutil.rmtree(self._folder / 'data')
+        self._record.write(f'platform: {self.name} has lost its disk')
+
     def log_text(self, role) -> str:
         """Return what the process of a role wrote."""
         return (self._folder / f'{role}.log').read_text(errors='replace')
@@ -285,7 +328,7 @@
             f'serves = {json.dumps(serves)}',
             f'ip = "{self.ip}"',
             f'zone = "{self.zone}"',
-            f'region = "{REGIONS[self.zone]}"',
+            f'region = "{self._site.regions[self.zone]}"',
             f'peerPortRange = [{self.port}, {self.port + 1}]',
             f'seeds = {json.dumps(seeds)}',
             f'bootstrap = {json.dumps(self._is_first_start)}',
@@ -298,7 +341,10 @@
             'config_mode = "highest"',
             *([f'dataDir = "{self._folder}/data"'] if self.has_disk else []),
             '[zones]',
-            *(f'{zone} = "{region}"' for zone, region in REGIONS.items()),
+            *(
+                f'{zone} = "{region}"'
+                for zone, region in self._site.regions.items()
+            ),
             '[listen]',
             *(
                 f'{name} = "{self.ip}:{self.port + offsets[name]}"'
@@ -307,16 +353,19 @@
             '[limits]',
             'cpuShare = 0.968',
             'cores = 2',
-            'memoryMb = 300',
+            f'memoryMb = {self._site.memory_mb}',
             'maxFds = 4100',
             'linkMbps = 1000.0',
             'diskMb = 64',
             '[faultTolerance]',
-            'machines = 1',
+            f'machines = {self._site.tolerated_machines}',
             'zones = 1',
             'regions = 1',
             '[bounds]',
-            *(f'{name} = {number}' for name, number in BOUNDS.items()),
+            *(
+                f'{name} = {number}'
+                for name, number in self._site.bounds.items()
+            ),
         ]
         return '\n'.join(lines) + '\n'
 
@@ -505,12 +554,12 @@
 class Group:
     """Machines with a temporary folder, one with a disk in each zone."""
 
-    def __init__(self, folder: Path, count: int) -> None:
+    def __init__(self, folder: Path, count: int, site: Site) -> None:
         self.record = Record(folder)
         self.folder = Path(tempfile.mkdtemp(prefix='review-'))
         ips, port = free_block(count)
         self.machines = [
-            Machine(number, ips, port, self.folder, self.record)
+            Machine(number, ips, port, self.folder, self.record, site)
             for number in range(count)
         ]
         self.searchers = []
@@ -633,12 +682,12 @@
     }
 
 
-def main(case, folder, machines=len(ZONES)) -> None:
+def main(case, folder, machines=len(ZONES), site=AYO) -> None:
     """Run a case and exit with its result: 0 held, 1 broken, 2 not run."""
 
     async def run() -> int:
         async with asyncio.timeout(115):
-            async with Group(folder, machines) as group:
+            async with Group(folder, machines, site) as group:
                 try:
                     is_broken = await case(group)
                 except CannotRun as error:
