Forward requests for the leader that reach a follower

Cause: a control host with an empty disk knows the seeds only and announces itself to them. Only the leader can handle an announcement, and followers dropped it. While no seed led, lost disks were never replaced. The same held for voter changes by operators, which an operator's host sends to the configured voters.

Change: a follower forwards such a request once to the leader that it knows, with the name of its origin; event 207 shows it. The new field is optional on the wire and left out by the origin.

The two new tests failed before the change: the new identity was not among the voters, and the voter change ended as outcome_unknown.

--- a/snipejunction/components/consensus/const.py
+++ b/snipejunction/components/consensus/const.py
@@ -78,3 +78,8 @@
     'warning',
     'this disk is not a voter of group {group}: add voter id {voter_id}',
 )
+EVENT_REQUEST_FORWARDED: Final = EventKind(
+    207,
+    'info',
+    'forwarded {request} of {origin} to {leader}, leader of group {group}',
+)
--- a/snipejunction/components/consensus/messages.py
+++ b/snipejunction/components/consensus/messages.py
@@ -95,11 +95,28 @@
     __slots__ = ('group',)
 
 
-@wire(23)
-class ForwardedVoterChange(GroupMessage):
+class LeaderRequest(PeerMessage):
+    """A request that only the leader of a group handles.
+
+    ``origin`` is the host that made the request, empty unless a follower
+    forwarded it.
+    """
+
+    __slots__ = ('origin',)
+
+    origin: str
+
+    @property
+    def source(self) -> str:
+        """Return the name of the host that made the request."""
+        return self.origin or self.sender
+
+
+@wire(23, optional_fields=1)
+class ForwardedVoterChange(LeaderRequest):
     """A voter change by an operator, forwarded to the leader."""
 
-    __slots__ = ('change_id', 'is_removal', 'member')
+    __slots__ = ('change_id', 'group', 'is_removal', 'member')
 
     def __init__(
         self,
@@ -107,12 +124,14 @@
         change_id: int,
         is_removal: bool,
         member: Member,
+        origin: str = '',
     ) -> None:
-        """Create a request; the forwarding host assigns ``change_id``."""
+        """Create a request; the operator's host assigns ``change_id``."""
         self.group = group
         self.change_id = change_id
         self.is_removal = is_removal
         self.member = member
+        self.origin = origin
 
 
 @wire(24)
--- a/snipejunction/components/consensus/systems/membership.py
+++ b/snipejunction/components/consensus/systems/membership.py
@@ -26,6 +26,9 @@
     VoterChangeResult,
 )
 from snipejunction.components.consensus.replica import Replica
+from snipejunction.components.consensus.systems.forwarding import (
+    forward_to_leader,
+)
 from snipejunction.components.consensus.systems.replication import (
     send_new_entries,
 )
@@ -202,8 +205,11 @@
     now: float,
 ) -> Iterator[Command]:
     replica = node.consensus.replicas.get(message.group)
-    # The request is resent until its result is received.
-    if replica is None or not can_change_members(replica):
+    if replica is None:
+        return
+    if not can_change_members(replica):
+        # The request is resent until its result is received.
+        yield from forward_to_leader(replica, message)
         return
     if _is_in_effect(replica, message):
         yield _change_result(message, None)
@@ -244,7 +250,7 @@
     refusal: Refusal | None,
 ) -> SendPeer:
     result = VoterChangeResult(message.group, message.change_id, refusal)
-    return SendPeer(message.sender, result)
+    return SendPeer(message.source, result)
 
 
 @handle.register
--- a/snipejunction/components/deployment/messages.py
+++ b/snipejunction/components/deployment/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from snipejunction.commands import Command
+from snipejunction.components.consensus.messages import LeaderRequest
 from snipejunction.helpers.records import Record
 from snipejunction.helpers.wire import wire
 from snipejunction.messages import Message, PeerMessage
@@ -209,8 +210,8 @@
         self.entries = entries
 
 
-@wire(149)
-class ControlAnnouncement(PeerMessage):
+@wire(149, optional_fields=1)
+class ControlAnnouncement(LeaderRequest):
     """Request of a control host to be added to the group as a member."""
 
     __slots__ = ('data_centre', 'ip', 'peer_port', 'voter_id')
@@ -221,12 +222,14 @@
         ip: str,
         peer_port: int,
         data_centre: str,
+        origin: str = '',
     ) -> None:
         """Create an announcement; ``voter_id`` identifies the disk."""
         self.voter_id = voter_id
         self.ip = ip
         self.peer_port = peer_port
         self.data_centre = data_centre
+        self.origin = origin
 
 
 class OrderRequest(CallMessage):
--- a/snipejunction/components/deployment/systems/membership.py
+++ b/snipejunction/components/deployment/systems/membership.py
@@ -15,6 +15,9 @@
 from snipejunction.components.consensus.leadership import Leadership
 from snipejunction.components.consensus.messages import Configuration, Member
 from snipejunction.components.consensus.replica import Replica
+from snipejunction.components.consensus.systems.forwarding import (
+    forward_to_leader,
+)
 from snipejunction.components.consensus.systems.membership import (
     can_change_members,
     propose_configuration,
@@ -111,15 +114,18 @@
     now: float,
 ) -> Iterator[Command]:
     replica = node.consensus.replicas.get(GROUP_DEPLOYMENT)
-    if replica is None or not can_change_members(replica):
+    if replica is None:
+        return
+    if not can_change_members(replica):
         # The announcement is repeated until it takes effect.
+        yield from forward_to_leader(replica, message)
         return
     current = replica.membership.current
     member = current.member(message.voter_id)
     if member is None:
         yield LogEvent(
             EVENT_CONTROL_JOINED,
-            name=message.sender,
+            name=message.source,
             data_centre=message.data_centre,
             voter_id=message.voter_id,
         )
@@ -127,7 +133,7 @@
         return
     located = Member(
         message.voter_id,
-        message.sender,
+        message.source,
         message.ip,
         message.peer_port,
         member is not None and member.is_voter,
--- a/tests/components/consensus/harness.py
+++ b/tests/components/consensus/harness.py
@@ -4,7 +4,7 @@
 
 import heapq
 import itertools
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from functools import partial
 from random import Random
 
@@ -236,6 +236,16 @@
         self.run_until(lambda: self.leader() is not None)
         return self.leader()
 
+    def elect_any_of(self, names: Collection[str]) -> str:
+        """Restart leaders until one of ``names`` leads; return its name."""
+        leader = self.wait_leader().name
+        while leader not in names:
+            self.crash(leader)
+            self.run(3)
+            self.start(leader)
+            leader = self.wait_leader().name
+        return leader
+
     def commit(self, payloads: Iterable[str]) -> None:
         """Propose payloads one by one, each until it is applied.
 
--- a/tests/components/consensus/test_faults.py
+++ b/tests/components/consensus/test_faults.py
@@ -221,6 +221,21 @@
         cluster.run(1)
         self.assertThat(cluster.hosts['h4'].payloads, Equals(['a', 'b']))
 
+    def test_wiped_disk_while_no_configured_voter_leads(self) -> None:
+        """A host that knows only the configured voters is added again.
+
+        Guards against voter changes that followers drop.
+        """
+        cluster = Cluster(4, seed=27, first=3, groups=BOTH)
+        cluster.commit(['a'])
+        response = cluster.change_voter('h1', 'add', 'h4')
+        self.assertThat(response.refusal, Is(None))
+        cluster.elect_any_of({'h4'})
+        cluster.wipe('h1')
+        cluster.start('h1')
+        response = cluster.change_voter('h1', 'add', 'h1')
+        self.assertThat(response.refusal, Is(None))
+
     def test_change_without_a_quorum_is_unknown(self) -> None:
         """A change that cannot commit is reported as outcome unknown."""
         cluster = Cluster(3, seed=25, groups=BOTH)
--- a/tests/components/deployment/test_membership.py
+++ b/tests/components/deployment/test_membership.py
@@ -85,6 +85,28 @@
         self.assertThat(voters, Not(Contains(leader.name)))
         self.assertThat(voters, Contains('h4'))
 
+    def test_wiped_disks_while_no_seed_leads(self) -> None:
+        """Hosts rejoin though the seeds, all that they know, only follow.
+
+        Guards against announcements that followers drop.
+        """
+        added = ('h4', 'h5', 'h6')
+        for number, name in enumerate(added):
+            self.cluster.add_host(name, f'dc{number}')
+        everyone = {*SEEDS, *added}
+        self.cluster.run_until(
+            lambda: self.cluster.voter_names() == everyone,
+        )
+        leader = self.cluster.elect_any_of(added)
+        for name in sorted(everyone - {leader})[:3]:
+            self.cluster.wipe(name)
+            self.cluster.start(name)
+            self.cluster.run(9)
+            new_id = self.cluster.hosts[name].replica.voter_id
+            membership = self.cluster.hosts[leader].replica.membership
+            self.assertThat(membership.current.voter_ids, Contains(new_id))
+            self.assertThat(self.cluster.voter_names(), Equals(everyone))
+
     def test_silence_alone_removes_nobody(self) -> None:
         """A silent voter without a replacement is never removed."""
         self.cluster.isolate('h2')
