Accept only what can be sent on; send lists without bad entries

Cause: the decoders of heartbeats and documents checked types only, and a list with one record that cannot be encoded was dropped as a whole.

Change: text and integers that messages cannot hold are refused with 400, as are names over 255 characters, ids that do not fit into the head of a request and unusable addresses. Messages with independent records leave out an entry that cannot be encoded or decoded and log it (815). Lists are sent in parts. Whole numbers in headers are bounded, and an attempt at an unusable address ends.

--- a/snipejunction/components/deployment/messages.py
+++ b/snipejunction/components/deployment/messages.py
@@ -176,7 +176,7 @@
         self.region = region
 
 
-@wire(148)
+@wire(148, independent_entries='entries')
 class HostsUpdate(PeerMessage):
     """The hosts that a control host knows, for an entry host.
 
@@ -199,7 +199,7 @@
         self.is_cut_off = is_cut_off
 
 
-@wire(153)
+@wire(153, independent_entries='entries')
 class EntriesUpdate(PeerMessage):
     """The entry hosts connected to the sender, for another control host."""
 
--- a/snipejunction/components/registration/const.py
+++ b/snipejunction/components/registration/const.py
@@ -22,6 +22,8 @@
 GONE_RETENTION_SECONDS: Final = 120.0
 # Upper bound of the searchers that one control host keeps.
 MAX_SEARCHERS: Final = 70_000
+# Records in one update of searchers: the longest ones fit into a frame.
+MAX_UPDATE_RECORDS: Final = 2048
 
 EVENT_SEARCHER_NEW: Final = EventKind(
     920,
--- a/snipejunction/components/registration/messages.py
+++ b/snipejunction/components/registration/messages.py
@@ -54,7 +54,7 @@
         self.state = state
 
 
-@wire(151)
+@wire(151, independent_entries='searchers')
 class SearcherUpdate(PeerMessage):
     """Changed searchers, sent by a control host to other hosts."""
 
@@ -86,7 +86,7 @@
         self.age = age
 
 
-@wire(159)
+@wire(159, independent_entries='limits')
 class LimitUpdate(PeerMessage):
     """Limits that searchers stated, on the way to all entry hosts."""
 
--- a/snipejunction/components/registration/systems/announcing.py
+++ b/snipejunction/components/registration/systems/announcing.py
@@ -25,6 +25,7 @@
     MAX_ANNOUNCEMENT_DELAY_SECONDS,
     MAX_MISSED_ANNOUNCEMENTS,
     MAX_SEARCHERS,
+    MAX_UPDATE_RECORDS,
     SILENT,
     STATE_NAMES,
 )
@@ -56,8 +57,8 @@
     records = [
         known.to_record(_merged_state(known), now) for known in searchers
     ]
-    if records:
-        yield SendPeer(name, SearcherUpdate(records))
+    for update in _make_updates(records):
+        yield SendPeer(name, update)
 
 
 def send_searchers_to_control(
@@ -69,8 +70,13 @@
         for known in node.registration.searchers.values()
         if node.name in known.silent_by_sender
     ]
-    if records:
-        yield SendPeer(name, SearcherUpdate(records))
+    for update in _make_updates(records):
+        yield SendPeer(name, update)
+
+
+def _make_updates(records: list[SearcherRecord]) -> Iterator[SearcherUpdate]:
+    for start in range(0, len(records), MAX_UPDATE_RECORDS):
+        yield SearcherUpdate(records[start : start + MAX_UPDATE_RECORDS])
 
 
 @handle.register
@@ -237,8 +243,7 @@
 def _send_to_entries(
     records: list[SearcherRecord], node: Node
 ) -> Iterator[Command]:
-    if records:
-        update = SearcherUpdate(records)
+    for update in _make_updates(records):
         for name in node.deployment.subscribers:
             yield SendPeer(name, update)
 
@@ -246,8 +251,7 @@
 def _send_to_controls(
     records: list[SearcherRecord], node: Node
 ) -> Iterator[Command]:
-    if records:
-        update = SearcherUpdate(records)
+    for update in _make_updates(records):
         for name in node.consensus.other_names(GROUP_DEPLOYMENT, node.name):
             yield SendPeer(name, update)
 
--- a/snipejunction/edge/const.py
+++ b/snipejunction/edge/const.py
@@ -103,6 +103,11 @@
     'request {method} {path} failed: {reason}',
 )
 EVENT_STOP_ASKED: Final = EventKind(812, 'info', 'planned stop requested')
+EVENT_ENTRIES_SKIPPED: Final = EventKind(
+    815,
+    'error',
+    '{kind} with {peer}: left out {count} entries, the first one: {reason}',
+)
 EVENT_DISK_FULL: Final = EventKind(
     814,
     'error',
--- a/snipejunction/edge/gateway/gateway_host.py
+++ b/snipejunction/edge/gateway/gateway_host.py
@@ -25,6 +25,7 @@
 from snipejunction.edge.gateway.control_link import ControlLink
 from snipejunction.edge.gateway.forwarding import ForwardedRequest
 from snipejunction.edge.gateway.header_names import HeaderNames
+from snipejunction.edge.gateway.headers import parse_whole_number
 from snipejunction.edge.gateway.host_profile import HostProfile
 from snipejunction.edge.gateway.http_server import HttpServer
 from snipejunction.edge.gateway.relay_calls import RelayCalls
@@ -299,10 +300,12 @@
     def _effective_timeout(
         self, request: CallerRequest, timeout: float
     ) -> float:
-        requested_ms = request.header(self.header_names.deadline)
-        if requested_ms.isdigit():
-            return min(int(requested_ms) / _MILLISECONDS, timeout)
-        return timeout
+        requested_ms = parse_whole_number(
+            request.header(self.header_names.deadline)
+        )
+        if requested_ms is None:
+            return timeout
+        return min(requested_ms / _MILLISECONDS, timeout)
 
     def _refuse(
         self,
--- a/snipejunction/edge/gateway/headers.py
+++ b/snipejunction/edge/gateway/headers.py
@@ -10,6 +10,9 @@
 Headers: TypeAlias = list[tuple[bytes, bytes]]
 
 _MILLISECONDS: Final = 1000
+# Numbers in headers: times of ten days and more, in milliseconds, are the same.
+MAX_HEADER_NUMBER: Final = 10**9
+_MAX_HEADER_DIGITS: Final = 100
 # Headers that apply to one connection and are not forwarded.
 _HOP_HEADERS: Final = frozenset(
     (
@@ -36,6 +39,18 @@
     return b''
 
 
+def parse_whole_number(field: bytes) -> int | None:
+    """Return the whole number in a header, None if it holds none.
+
+    The number is ``MAX_HEADER_NUMBER`` at most.
+    """
+    if not field.isdigit():
+        return None
+    if len(field) > _MAX_HEADER_DIGITS:
+        return MAX_HEADER_NUMBER
+    return min(int(field), MAX_HEADER_NUMBER)
+
+
 def end_to_end_headers(
     headers: Headers, excluded: Container[bytes] = ()
 ) -> Headers:
--- a/snipejunction/edge/gateway/host_profile.py
+++ b/snipejunction/edge/gateway/host_profile.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+import re
+from ipaddress import ip_address
+from typing import Final
+
 from snipejunction.components.gateway.budget import RepeatLimits
 from snipejunction.edge.peers import Address
 from snipejunction.errors import SettingsError
 
+_MAX_PORT: Final = 65535
+_PORT: Final = re.compile('[0-9]{1,5}')
+
 
 def parse_address(text: str) -> Address:
     """Return the IP address and the port in ``IP:PORT``.
@@ -13,10 +20,14 @@
     Raises:
         SettingsError: if the text is not an address with a port.
     """
-    ip, _, port = text.rpartition(':')
-    if not ip or not port.isdecimal():
-        raise SettingsError(text, 'not an address with a port')
-    return ip, int(port)
+    ip, _, port_text = text.rpartition(':')
+    if _PORT.fullmatch(port_text) is None or int(port_text) > _MAX_PORT:
+        raise SettingsError(repr(text), 'not an address with a port')
+    try:
+        ip_address(ip)
+    except ValueError as error:
+        raise SettingsError(repr(text), 'not an IP address') from error
+    return ip, int(port_text)
 
 
 def find_address(name: str) -> Address | None:
--- a/snipejunction/edge/gateway/searcher_connection.py
+++ b/snipejunction/edge/gateway/searcher_connection.py
@@ -21,6 +21,7 @@
     Headers,
     end_to_end_headers,
     find_header,
+    parse_whole_number,
 )
 from snipejunction.helpers.rates import parse_rate
 
@@ -244,9 +245,11 @@
 
     def _record_idle_timeout(self, field: bytes) -> None:
         for parameter in field.split(b','):
-            seconds_text = parameter.strip().removeprefix(_TIMEOUT_FIELD)
-            if seconds_text.isdigit():
-                self._idle_seconds = int(seconds_text) - IDLE_MARGIN_SECONDS
+            seconds = parse_whole_number(
+                parameter.strip().removeprefix(_TIMEOUT_FIELD)
+            )
+            if seconds is not None:
+                self._idle_seconds = seconds - IDLE_MARGIN_SECONDS
 
     def _check_size(self) -> None:
         head_bytes = self._reply_bytes - self._bytes_before_head
--- a/snipejunction/edge/gateway/searcher_pool.py
+++ b/snipejunction/edge/gateway/searcher_pool.py
@@ -16,6 +16,7 @@
     ReceivedBytes,
     SearcherConnection,
 )
+from snipejunction.errors import SettingsError
 
 
 class PendingRequest:
@@ -130,12 +131,14 @@
         pending: PendingRequest,
     ) -> None:
         self.opened_connections += 1
-        connect = self._loop.create_connection(
-            partial(self._create_connection, key),
-            *parse_address(address),
-        )
         try:
+            connect = self._loop.create_connection(
+                partial(self._create_connection, key),
+                *parse_address(address),
+            )
             _, connection = await asyncio.wait_for(connect, CONNECT_SECONDS)
+        except SettingsError as error:
+            pending.finish(Outcome(OutcomeKind.REFUSED, detail=str(error)))
         except TimeoutError:
             pending.finish(
                 Outcome(OutcomeKind.REFUSED, detail='connect timeout')
--- a/snipejunction/edge/peer_stream.py
+++ b/snipejunction/edge/peer_stream.py
@@ -38,6 +38,11 @@
     ) -> None:
         """Handle a message from an authenticated host."""
 
+    def stream_skipped(
+        self, stream: PeerStream, kind: str, reasons: list[str]
+    ) -> None:
+        """Handle entries of a message that were malformed and left out."""
+
     def stream_closed(self, stream: PeerStream, reason: str) -> None:
         """Handle a closed stream."""
 
@@ -154,13 +159,17 @@
             if transport is None or transport.is_closing():
                 return
             if content:
-                self._handle_record(decode(content))
+                self._handle_content(content)
 
-    def _handle_record(self, record: object) -> None:
-        if self.is_ready:
-            self._deliver(record)
-        else:
+    def _handle_content(self, content: bytes) -> None:
+        skipped: list[str] = []
+        record = decode(content, skipped)
+        if not self.is_ready:
             self._authenticate(record)
+            return
+        if skipped:
+            self._owner.stream_skipped(self, type(record).__name__, skipped)
+        self._deliver(record)
 
     def _deliver(self, record: object) -> None:
         if not isinstance(record, PeerMessage):
--- a/snipejunction/edge/peers.py
+++ b/snipejunction/edge/peers.py
@@ -13,6 +13,7 @@
 from snipejunction.commands import LogEvent
 from snipejunction.edge.const import (
     DIAL_SECONDS,
+    EVENT_ENTRIES_SKIPPED,
     EVENT_PEER_DOWN,
     EVENT_PEER_UP,
     EVENT_QUEUE_FULL,
@@ -190,6 +191,12 @@
         """Forward a message to the systems."""
         self._hooks.submit(message)
 
+    def stream_skipped(
+        self, stream: PeerStream, kind: str, reasons: list[str]
+    ) -> None:
+        """Log the entries of a message that were left out."""
+        self._log_skipped(stream.peer_name, kind, reasons)
+
     def stream_closed(self, stream: PeerStream, reason: str) -> None:
         """Remove a stream; report the peer as lost with its last one."""
         self._streams.discard(stream)
@@ -232,7 +239,7 @@
     ) -> None:
         kind = type(message).__name__
         try:
-            is_queued = stream.send(self._encode(message))
+            is_queued = stream.send(self._encode(message, host))
         except WireError as error:
             self._hooks.log(
                 LogEvent(
@@ -246,7 +253,18 @@
         if not is_queued:
             self._hooks.log(LogEvent(EVENT_QUEUE_FULL, kind=kind, peer=host))
 
-    def _encode(self, message: PeerMessage) -> bytes:
+    def _log_skipped(self, host: str, kind: str, reasons: list[str]) -> None:
+        self._hooks.log(
+            LogEvent(
+                EVENT_ENTRIES_SKIPPED,
+                kind=kind,
+                peer=host,
+                count=len(reasons),
+                reason=reasons[0],
+            ),
+        )
+
+    def _encode(self, message: PeerMessage, host: str) -> bytes:
         """Return the frame of a message.
 
         Updates are sent to many hosts one after the other, so the last frame
@@ -254,8 +272,11 @@
         """
         encoded = self._encoded
         if encoded is None or encoded[0] is not message:
-            encoded = (message, encode_frame(encode(message)))
+            skipped: list[str] = []
+            encoded = (message, encode_frame(encode(message, skipped)))
             self._encoded = encoded
+            if skipped:
+                self._log_skipped(host, type(message).__name__, skipped)
         return encoded[1]
 
     def _send_pending(self, host: str, peer: _Peer) -> None:
--- a/snipejunction/helpers/wire.py
+++ b/snipejunction/helpers/wire.py
@@ -9,12 +9,16 @@
 have the default values of the constructor. So hosts of a release that does not
 know them exchange messages with hosts of the next one, as long as their values
 are the defaults.
+
+A type may name one list of records as independent. An entry of it that cannot
+be encoded or decoded is then left out, so that it does not cost the others.
 """
 
 from __future__ import annotations
 
 import inspect
 import types
+from copy import copy
 from typing import (
     Any,
     Final,
@@ -50,16 +54,21 @@
 _codecs: Final[_CodecTable] = {}
 # Default values of the optional fields of each type that has any.
 _optional: Final[dict[type, list[Any]]] = {}
+# Name of the field with independent entries of each type that has one.
+_independent: Final[dict[type, str]] = {}
 
 
 class _WireTypeRegistration:
     """Class decorator that registers a record type under its number."""
 
-    __slots__ = ('_number', '_optional_fields')
+    __slots__ = ('_independent_entries', '_number', '_optional_fields')
 
-    def __init__(self, number: int, optional_fields: int) -> None:
+    def __init__(
+        self, number: int, optional_fields: int, independent_entries: str
+    ) -> None:
         self._number = number
         self._optional_fields = optional_fields
+        self._independent_entries = independent_entries
 
     def __call__(self, record_type: _RecordType) -> _RecordType:
         if self._number in _types:
@@ -72,6 +81,8 @@
                 argument.default for argument in signature.parameters.values()
             ]
             _optional[record_type] = defaults[-self._optional_fields :]
+        if self._independent_entries:
+            _independent[record_type] = self._independent_entries
         return record_type
 
 
@@ -92,12 +103,18 @@
         return unpack_fields(self._record_type, part)
 
 
-def wire(number: int, optional_fields: int = 0) -> _WireTypeRegistration:
+def wire(
+    number: int,
+    optional_fields: int = 0,
+    independent_entries: str = '',
+) -> _WireTypeRegistration:
     """Return a decorator that registers a record class under ``number``.
 
-    ``optional_fields`` is the number of its last fields that are optional.
+    ``optional_fields`` is the number of its last fields that are optional;
+    ``independent_entries`` names a field with a list of records that do not
+    depend on each other.
     """
-    return _WireTypeRegistration(number, optional_fields)
+    return _WireTypeRegistration(number, optional_fields, independent_entries)
 
 
 def registered_types() -> dict[int, type]:
@@ -105,9 +122,12 @@
     return dict(_types)
 
 
-def encode(record: object) -> bytes:
+def encode(record: object, skipped: list[str] | None = None) -> bytes:
     """Encode a registered record as a frame.
 
+    Independent entries that cannot be packed are left out if ``skipped`` is
+    given; the reasons are added to it.
+
     Raises:
         WireError: if the type is not registered, a field cannot be packed
             or the frame is too large.
@@ -117,16 +137,22 @@
     if number is None:
         raise WireError(f'{record_type.__name__} is not a wire type')
     try:
-        frame = msgpack.packb([WIRE_VERSION, number, *pack_fields(record)])
-    except (TypeError, ValueError, OverflowError) as error:
-        raise WireError(f'{record_type.__name__}: {error}') from error
+        frame = _pack([WIRE_VERSION, number, *pack_fields(record)])
+    except WireError as error:
+        if skipped is None or record_type not in _independent:
+            raise WireError(f'{record_type.__name__}: {error}') from error
+        reduced = _without_unpackable(record, skipped)
+        frame = _pack([WIRE_VERSION, number, *pack_fields(reduced)])
     _check_size(frame)
-    return bytes(frame)
+    return frame
 
 
-def decode(frame: bytes) -> Any:
+def decode(frame: bytes, skipped: list[str] | None = None) -> Any:
     """Decode the record in a frame.
 
+    Independent entries that are malformed are left out if ``skipped`` is
+    given; the reasons are added to it.
+
     Raises:
         WireError: if the frame is malformed, too large, of another version
             or of an unknown type.
@@ -144,7 +170,14 @@
     record_type = _types.get(number) if isinstance(number, int) else None
     if record_type is None:
         raise WireError(f'unknown type {number!r}')
-    return unpack_fields(record_type, body[_HEADER_FIELDS:])
+    parts = body[_HEADER_FIELDS:]
+    if skipped is None or record_type not in _independent:
+        return unpack_fields(record_type, parts)
+    try:
+        return unpack_fields(record_type, parts)
+    except WireError:
+        reduced = _without_malformed(record_type, parts, skipped)
+        return unpack_fields(record_type, reduced)
 
 
 def pack_fields(record: object) -> list[Any]:
@@ -181,6 +214,49 @@
     return record_type(*arguments)
 
 
+def _pack(fields: list[Any]) -> bytes:
+    try:
+        return bytes(msgpack.packb(fields))
+    except (TypeError, ValueError, OverflowError) as error:
+        raise WireError(str(error)) from error
+
+
+def _without_unpackable(record: object, skipped: list[str]) -> object:
+    """Return a copy of a record without the entries that cannot be packed."""
+    name = _independent[type(record)]
+    kept = []
+    for position, entry in enumerate(getattr(record, name)):
+        try:
+            _pack(pack_fields(entry))
+        except WireError as error:
+            skipped.append(f'entry {position}: {error}')
+        else:
+            kept.append(entry)
+    reduced = copy(record)
+    setattr(reduced, name, kept)
+    return reduced
+
+
+def _without_malformed(
+    record_type: type, parts: list[Any], skipped: list[str]
+) -> list[Any]:
+    """Return packed fields without the entries that cannot be unpacked."""
+    names = [name for name, _ in _codecs_for(record_type)]
+    index = names.index(_independent[record_type])
+    if index >= len(parts) or not isinstance(parts[index], list):
+        return parts
+    _, codec = _codecs_for(record_type)[index]
+    kept = []
+    for position, entry in enumerate(parts[index]):
+        try:
+            codec.unpack([entry])
+        except WireError as error:
+            skipped.append(f'entry {position}: {error}')
+        else:
+            kept.append(entry)
+    return [*parts[:index], kept, *parts[index + 1 :]]
+
+
 def _check_size(frame: bytes) -> None:
     if len(frame) > MAX_FRAME_BYTES:
         raise WireError(
--- a/snipejunction/platform/announcements.py
+++ b/snipejunction/platform/announcements.py
@@ -1,16 +1,37 @@
-"""Parser for heartbeats of searchers."""
+"""Parser for heartbeats of searchers.
+
+What is accepted is sent on to other hosts and in the heads of requests, so
+each field has to fit into both.
+"""
 
 from __future__ import annotations
 
+import re
 from types import MappingProxyType
 from typing import Final
 
 from snipejunction.components.registration.const import LEAVING, READY
 from snipejunction.components.registration.messages import SearcherRecord
 from snipejunction.edge.gateway.host_profile import parse_address
-from snipejunction.platform.fields import parse_json
+from snipejunction.errors import SettingsError
+from snipejunction.platform.fields import Fields, parse_json
 
 _STATES: Final = MappingProxyType({'ready': READY, 'draining': LEAVING})
+# Longest id, service, address or data centre of a searcher, in characters.
+_MAX_NAME_CHARS: Final = 255
+# Visible ASCII characters: the id is sent in the head of each request.
+_SEARCHER_ID: Final = re.compile(r'[!-~]+')
+
+
+def read_searcher_id(text: str) -> str:
+    """Return the id of a searcher.
+
+    Raises:
+        SettingsError: if the head of a request cannot hold it.
+    """
+    if len(text) > _MAX_NAME_CHARS or _SEARCHER_ID.fullmatch(text) is None:
+        raise SettingsError(repr(text), 'not an id of a searcher')
+    return text
 
 
 def read_announcement(searcher_id: str, content: bytes) -> SearcherRecord:
@@ -19,17 +40,20 @@
     Raises:
         SettingsError: if a field is missing, of another type or unknown.
     """
+    read_searcher_id(searcher_id)
     fields = parse_json(content)
     state = _STATES.get(fields.string('state'))
     if state is None:
         raise fields.error('state', 'unknown')
-    address = fields.string('address')
-    parse_address(address)
+    address = _read_name(fields, 'address')
+    _, port = parse_address(address)
+    if not port:
+        raise fields.error('address', 'port 0')
     return SearcherRecord(
         searcher_id,
-        fields.string('service'),
+        _read_name(fields, 'service'),
         address,
-        fields.string('zone'),
+        _read_name(fields, 'zone'),
         fields.integer('slots', lowest=1),
         # coldLeftMs is the time left until the end of the cold start.
         fields.seconds('coldLeftMs', 0),
@@ -37,3 +61,10 @@
         fields.integer('sequence'),
         state,
     )
+
+
+def _read_name(fields: Fields, field: str) -> str:
+    name = fields.string(field)
+    if len(name) > _MAX_NAME_CHARS:
+        raise fields.error(field, f'over {_MAX_NAME_CHARS} characters')
+    return name
--- a/snipejunction/platform/calls.py
+++ b/snipejunction/platform/calls.py
@@ -20,7 +20,10 @@
 from snipejunction.edge.gateway.host_profile import HostProfile
 from snipejunction.errors import SettingsError
 from snipejunction.platform import names
-from snipejunction.platform.announcements import read_announcement
+from snipejunction.platform.announcements import (
+    read_announcement,
+    read_searcher_id,
+)
 from snipejunction.platform.answers import (
     respond_encoded_json,
     respond_json,
@@ -84,7 +87,12 @@
     def _handle_deregistration(
         self, request: CallerRequest, searcher_id: str
     ) -> None:
-        self._host.submit(SearcherLeft(unquote(searcher_id)))
+        try:
+            left = SearcherLeft(read_searcher_id(unquote(searcher_id)))
+        except SettingsError as error:
+            respond_json(request, _BAD_REQUEST, {'error': str(error)})
+            return
+        self._host.submit(left)
         is_connected = not self._host.is_cut_off
         respond_status(request, _OK if is_connected else _UNAVAILABLE)
 
--- a/snipejunction/platform/fields.py
+++ b/snipejunction/platform/fields.py
@@ -9,6 +9,8 @@
 from snipejunction.errors import SettingsError
 
 _MILLISECONDS = 1000
+# Largest integer that messages hold: 64 bits with a sign.
+_MAX_INTEGER = 9223372036854775807
 
 
 class Fields:
@@ -36,6 +38,7 @@
         raw = self._get(name, default)
         if not isinstance(raw, str) or (not raw and default is None):
             raise self.error(name, 'not a string')
+        self._check_text(name, raw)
         return raw
 
     def number(
@@ -48,7 +51,9 @@
         raw = self._get(name, default)
         if isinstance(raw, bool) or not isinstance(raw, (int, float)):
             raise self.error(name, 'not a number')
-        if not math.isfinite(raw) or raw < lowest:
+        if isinstance(raw, int):
+            self._check_range(name, raw, lowest)
+        elif not math.isfinite(raw) or raw < lowest:
             raise self.error(name, f'less than {lowest}')
         return raw
 
@@ -62,8 +67,7 @@
         raw = self._get(name, default)
         if isinstance(raw, bool) or not isinstance(raw, int):
             raise self.error(name, 'not a whole number')
-        if raw < lowest:
-            raise self.error(name, f'less than {lowest}')
+        self._check_range(name, raw, lowest)
         return raw
 
     def seconds(self, name: str, default_ms: float | None = None) -> float:
@@ -82,6 +86,8 @@
         raw = self._items(name)
         if not all(isinstance(element, str) and element for element in raw):
             raise self.error(name, 'not a list of strings')
+        for element in raw:
+            self._check_text(name, element)
         return tuple(raw)
 
     def table(self, name: str) -> Fields:
@@ -105,6 +111,21 @@
         """Create an error that holds the path of a field."""
         return SettingsError(f'{self._path}/{name}', problem)
 
+    def _check_text(self, name: str, text: str) -> None:
+        # JSON can hold halves of surrogate pairs, which UTF-8 cannot.
+        try:
+            text.encode()
+        except UnicodeEncodeError as error:
+            raise self.error(
+                name, f'not Unicode text: {error.reason}'
+            ) from error
+
+    def _check_range(self, name: str, number: int, lowest: float) -> None:
+        if number < lowest:
+            raise self.error(name, f'less than {lowest}')
+        if number > _MAX_INTEGER:
+            raise self.error(name, f'more than {_MAX_INTEGER}')
+
     def _items(self, name: str) -> list[Any]:
         raw = self._table.get(name)
         if raw is None:
--- a/tests/components/registration/test_relaying.py
+++ b/tests/components/registration/test_relaying.py
@@ -15,6 +15,7 @@
 from snipejunction.components.registration.const import (
     GONE,
     LEAVING,
+    MAX_UPDATE_RECORDS,
     READY,
     SILENT,
 )
@@ -27,6 +28,7 @@
     run_searcher_updates,
 )
 from snipejunction.handling import handle
+from snipejunction.helpers.wire import decode, encode
 from snipejunction.messages import PeerConnected, PeerLost
 from tests.components.deployment.harness import SEEDS, ControlCluster
 from tests.components.gateway.stage import make_record
@@ -206,6 +208,24 @@
         again = self.updates(run_searcher_updates(self.node, self.cluster.now))
         self.assertThat(again, Equals([]))
 
+    def test_long_records_fit_into_frames(self) -> None:
+        """Searchers with long names do not make a list too large to send."""
+        count = 2 * MAX_UPDATE_RECORDS
+        text = '\U0001f9f8' * 255
+        for number in range(count):
+            record = make_record(f'{number:0255}', text, data_centre=text)
+            self.updates(
+                handle(SearcherAnnounced(record), self.node, self.cluster.now)
+            )
+        sent = self.updates(run_searcher_updates(self.node, self.cluster.now))
+        received = [
+            record.searcher_id
+            for update in sent
+            if update.host == 'e0'
+            for record in decode(encode(update.message)).searchers
+        ]
+        self.assertThat(set(received), HasLength(count))
+
     def test_ends_are_sent_at_once(self) -> None:
         """A leaving searcher is reported before the next tick."""
         self.announce_to_node('s', 1)
--- a/tests/edge/gateway/test_searcher_pool.py
+++ b/tests/edge/gateway/test_searcher_pool.py
@@ -303,6 +303,16 @@
             outcome = await caller.send()
             self.assertThat(outcome.kind, Is(OutcomeKind.REFUSED))
 
+    @in_loop
+    async def test_unusable_address(self) -> None:
+        """A request to an address that cannot be used ends as refused."""
+        async with AsyncExitStack() as stack:
+            caller = await self.async_open(stack, async_answer)
+            for address in ('127.0.0.1:70000', 'shop\x00:80', 'nowhere'):
+                caller.upstream.record.address = address
+                outcome = await asyncio.wait_for(caller.send(), timeout=5)
+                self.assertThat(outcome.kind, Is(OutcomeKind.REFUSED))
+
     @in_loop
     async def test_cancelled_before_it_was_sent(self) -> None:
         """A request that is cancelled while connecting is not sent."""
--- a/tests/edge/test_peers.py
+++ b/tests/edge/test_peers.py
@@ -9,7 +9,9 @@
 from testtools.matchers import Contains, Equals, Not
 
 from snipejunction.components.owner.messages import SubCancel
+from snipejunction.components.registration.messages import SearcherUpdate
 from snipejunction.edge.const import (
+    EVENT_ENTRIES_SKIPPED,
     EVENT_STREAM_REFUSED,
     EVENT_STREAM_SILENT,
     EVENT_UNSENDABLE,
@@ -18,6 +20,7 @@
 from snipejunction.edge.messages import Hello
 from snipejunction.helpers.wire import MAX_FRAME_BYTES, encode
 from snipejunction.messages import PeerConnected, PeerLost
+from tests.components.gateway.stage import make_record
 from tests.edge.support import (
     KEY,
     OTHER_KEY,
@@ -149,6 +152,25 @@
             self.assertThat(first.events, Contains(EVENT_UNSENDABLE.number))
             self.assertThat(second.cancelled_ids(), Equals([2]))
 
+    @in_loop
+    async def test_unsendable_entry(self) -> None:
+        """A list is sent without the entry that cannot be encoded."""
+        async with self.stack:
+            first, second = await self.async_make_hosts()
+            records = [make_record('a'), make_record('\ud83c')]
+            first.table.send('b', SearcherUpdate(records))
+            first.table.send('b', SubCancel([1]))
+            await async_until(second.cancelled_ids)
+            searchers = [
+                message.searchers
+                for message in second.received
+                if isinstance(message, SearcherUpdate)
+            ]
+            self.assertThat(searchers, Equals([records[:1]]))
+            self.assertThat(
+                first.events, Contains(EVENT_ENTRIES_SKIPPED.number)
+            )
+
     @in_loop
     async def test_unknown_host(self) -> None:
         """A message to an unknown host is dropped."""
--- a/tests/helpers/test_wire.py
+++ b/tests/helpers/test_wire.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools import TestCase
-from testtools.matchers import Equals, Raises, MatchesException
+from testtools.matchers import Equals, HasLength, MatchesException, Raises
 
 from snipejunction.components.gateway.messages import PartReport
 from snipejunction.components.owner.messages import (
@@ -15,9 +15,11 @@
     SubResult,
     SubResults,
 )
+from snipejunction.components.registration.messages import SearcherUpdate
 from snipejunction.helpers.wire import decode, encode
 from snipejunction.helpers.wire_codecs import WireError
 from snipejunction.verdict import not_run_refusal
+from tests.components.gateway.stage import make_record
 
 _raises_wire_error = Raises(MatchesException(WireError))
 
@@ -65,6 +67,25 @@
         frame = msgpack.packb([1, 60, 1])
         self.assertThat(lambda: decode(frame), _raises_wire_error)
 
+    def test_bad_entry_of_an_independent_list(self) -> None:
+        """An entry that cannot be sent or read is left out, no other one.
+
+        Guards against one searcher that stops all lists of searchers.
+        """
+        good = [make_record('a'), make_record('b')]
+        update = SearcherUpdate([good[0], make_record('\ud83c'), good[1]])
+        self.assertThat(lambda: encode(update), _raises_wire_error)
+        skipped: list[str] = []
+        frame = encode(update, skipped)
+        self.assertThat(decode(frame), Equals(SearcherUpdate(good)))
+        self.assertThat(skipped, HasLength(1))
+        body = msgpack.unpackb(frame)
+        body[2].insert(1, ['c', 5])
+        frame = msgpack.packb(body)
+        self.assertThat(lambda: decode(frame), _raises_wire_error)
+        self.assertThat(decode(frame, skipped), Equals(SearcherUpdate(good)))
+        self.assertThat(skipped, HasLength(2))
+
     @given(st.binary(max_size=200))
     def test_garbage(self, garbage: bytes) -> None:
         """Any bytes decode to a record or raise ``WireError``."""
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -6,13 +6,15 @@
 import json
 from types import MappingProxyType
 
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 from testtools import TestCase
 from testtools.matchers import Contains, Equals
 
 from snipejunction.components.registration.const import LEAVING
+from snipejunction.components.registration.messages import SearcherUpdate
 from snipejunction.errors import SettingsError
+from snipejunction.helpers.wire import decode, encode
 from snipejunction.platform.announcements import read_announcement
 from snipejunction.platform.documents import read_document
 
@@ -129,6 +131,14 @@
         )
         self.assertThat(str(error), Contains('same host and prefix'))
 
+    def test_not_fit_to_be_sent(self) -> None:
+        """Text and numbers that messages cannot hold are refused."""
+        self.assert_refused('version', to=2**64)
+        self.assert_refused('routes', 0, 'name', to='\ud83c')
+        self.assert_refused('routes', 0, 'homeRegions', to=['\ud83c'])
+        self.assert_refused('routes', 0, 'timeoutMs', to=10**400)
+        self.assert_refused('routes', 0, 'priority', to=2**63)
+
     def test_zero_weights(self) -> None:
         """Weights that add up to 0 are refused."""
         table = copy.deepcopy(dict(DOCUMENT))
@@ -219,6 +229,57 @@
                 content,
             )
 
+    def test_not_fit_to_be_sent(self) -> None:
+        """Fields that messages or request heads cannot hold are refused.
+
+        Guards against one heartbeat that stops all lists of searchers.
+        """
+        for name, bad_field in (
+            ('service', 'toy shop \ud83c'),
+            ('service', 's' * 300),
+            ('zone', '\udc00'),
+            ('slots', 2**64 - 1),
+            ('sequence', 2**63),
+            ('born', 10**400),
+            ('coldLeftMs', 10**400),
+            ('address', '10.128.0.9:80800'),
+            ('address', '10.128.0.9:0'),
+            ('address', 'shop\x00:80'),
+        ):
+            content = encode_json({**ANNOUNCEMENT, name: bad_field})
+            self.assertRaises(SettingsError, read_announcement, 'i-1', content)
+        content = encode_json(dict(ANNOUNCEMENT))
+        for searcher_id in (
+            '',
+            'i 1',
+            'i-1\r\nX-Other: 1',
+            'i\ufffd',
+            'i' * 300,
+        ):
+            self.assertRaises(
+                SettingsError, read_announcement, searcher_id, content
+            )
+
+    @example({'service': '\ud83c'})
+    @example({'sequence': 2**64})
+    @given(
+        st.dictionaries(
+            st.sampled_from(sorted(ANNOUNCEMENT)),
+            st.integers()
+            | st.floats()
+            | st.text(st.characters(exclude_categories=())),
+        )
+    )
+    def test_all_accepted_can_be_sent(self, changes: dict) -> None:
+        """Each heartbeat is refused or fits into a list of searchers."""
+        content = encode_json({**ANNOUNCEMENT, **changes})
+        try:
+            record = read_announcement('i-1', content)
+        except SettingsError:
+            return
+        update = SearcherUpdate([record])
+        self.assertThat(decode(encode(update)), Equals(update))
+
     @given(st.binary(max_size=60))
     def test_any_bytes(self, content: bytes) -> None:
         """Random bytes raise a settings error."""
