Count the memory of all unfinished messages together

Cause: trailers were stored as headers, some 19 bytes of memory for each on the wire, and the bound of all connections counted bodies only. The same held for heads, for requests of callers and control calls, and for frames of peers.

Change: trailers are not stored. A budget for each kind of connection sums what they hold of unfinished messages, with the overhead of headers; over the limit the one that holds most is closed (816), not the one that reads next. A caller that does not read its answers gets no further request served. Garbage or an offered upgrade behind a request no longer costs its answer.

--- a/snipejunction/edge/const.py
+++ b/snipejunction/edge/const.py
@@ -8,6 +8,8 @@
 
 # Frame size limit before the sender is authenticated.
 MAX_HELLO_BYTES: Final = 2048
+# Upper bound of the frames that are being received from all peers, in bytes.
+MAX_RECEIVED_FRAMES_BYTES: Final = 33554432
 # Send queue limit per peer; further messages are dropped.
 MAX_QUEUE_BYTES: Final = 16777216
 # Limits on messages that wait for a stream to open: count and age.
@@ -108,6 +110,12 @@
     'error',
     '{kind} with {peer}: left out {count} entries, the first one: {reason}',
 )
+EVENT_RECEIVED_TOO_MUCH: Final = EventKind(
+    816,
+    'warning',
+    'connections of {kind} hold {total} bytes, at most {limit}: closed the one '
+    'with {held}',
+)
 EVENT_DISK_FULL: Final = EventKind(
     814,
     'error',
--- a/snipejunction/edge/frames.py
+++ b/snipejunction/edge/frames.py
@@ -35,6 +35,11 @@
         """Return the size limit of frame contents in bytes."""
         return self._limit
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of the unfinished frame in bytes."""
+        return len(self._buffer)
+
     def set_limit(self, limit: int) -> None:
         """Set the size limit of frame contents in bytes."""
         self._limit = limit
--- a/snipejunction/edge/gateway/caller_connection.py
+++ b/snipejunction/edge/gateway/caller_connection.py
@@ -17,6 +17,8 @@
     MAX_CHUNK_OVERHEAD,
 )
 from snipejunction.edge.gateway.headers import Headers, find_header
+from snipejunction.edge.gateway.partial_request import PartialRequest
+from snipejunction.edge.receive_budget import ReceiveBudget
 
 _MAX_PIPELINED_REQUESTS: Final = 16
 # Most bytes that the event loop reads at once.
@@ -29,6 +31,7 @@
     __slots__ = (
         '_connection',
         'body',
+        'held_bytes',
         'headers',
         'is_answered',
         'method',
@@ -45,14 +48,19 @@
         headers: Headers,
         body: bytes,
         received_at: float,
+        held_bytes: int,
     ) -> None:
-        """Create a request received at a time of the loop's clock."""
+        """Create a request received at a time of the loop's clock.
+
+        ``held_bytes`` is the memory that it takes.
+        """
         self._connection = connection
         self.method = method
         self.target = target
         self.headers = headers
         self.body = body
         self.received_at = received_at
+        self.held_bytes = held_bytes
         self.on_disconnect: Callable[[], None] | None = None
         self.is_answered = False
 
@@ -81,6 +89,7 @@
 class RequestServer(Protocol):
     """Interface of the server that owns the connections."""
 
+    budget: ReceiveBudget
     limits: CallerLimits
     is_stopping: bool
 
@@ -107,25 +116,25 @@
         self._loop = loop
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._target = b''
-        self._headers: Headers = []
-        self._header_bytes = 0
-        self._has_head = False
+        self._partial = PartialRequest()
         # Bytes of the current message, including unfinished lines.
         self._message_bytes = 0
-        self._chunks: list[bytes] = []
-        self._body_bytes = 0
+        self._account = server.budget.open(
+            lambda reason: self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
+        )
         self._receiving_since: float | None = None
         self._last_active_at = loop.time()
         self._current: CallerRequest | None = None
         self._queued: deque[CallerRequest] = deque()
         self._is_refused = False
+        self._is_writing_paused = False
         self.is_disconnected = False
 
     @property
     def is_idle(self) -> bool:
         """Return whether no request is being received or served."""
-        return self._current is None and self._receiving_since is None
+        is_serving = self._current is not None or bool(self._queued)
+        return not is_serving and self._receiving_since is None
 
     @property
     def has_unsent_bytes(self) -> bool:
@@ -153,10 +162,12 @@
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserUpgrade:
-            self._refuse(HTTPStatus.BAD_REQUEST)
+            # The request is answered in HTTP/1.1, and nothing follows it.
+            self._is_refused = True
         except httptools.HttpParserError:
             self._refuse(HTTPStatus.BAD_REQUEST)
         self._check_size()
+        self._update_account()
 
     def eof_received(self) -> bool:
         """Close the connection when the caller closes its sending side."""
@@ -165,6 +176,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Call ``on_disconnect`` of all unanswered requests."""
         self.is_disconnected = True
+        self._account.update(0)
         self._server.remove_connection(self)
         requests = list(self._queued)
         if self._current is not None:
@@ -193,38 +205,44 @@
         if self._transport is not None:
             self._transport.close()
 
+    def pause_writing(self) -> None:
+        """Serve no further request until the caller reads its answers."""
+        self._is_writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Serve the next queued request."""
+        self._is_writing_paused = False
+        if self._queued and self._can_dispatch:
+            self._dispatch(self._queued.popleft())
+            self._update_account()
+
     # Callbacks of httptools.HttpRequestParser.
 
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
-        self._target = b''
-        self._headers = []
-        self._header_bytes = 0
-        self._has_head = False
-        self._chunks = []
-        self._body_bytes = 0
+        self._partial = PartialRequest()
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
-        self._target += url
-        self._add_header_bytes(len(url))
+        self._partial.add_target(url)
+        self._check_head_size()
 
     def on_header(self, name: bytes, field: bytes) -> None:
         """Store a header."""
-        self._headers.append((name.lower(), field))
-        self._add_header_bytes(len(name) + len(field) + 4)
+        self._partial.add_header(name, field)
+        self._check_head_size()
 
     def on_headers_complete(self) -> None:
         """Record that the head is complete."""
-        self._has_head = True
+        self._partial.has_head = True
 
     def on_body(self, chunk: bytes) -> None:
         """Store a chunk of the body; refuse a body over the limit."""
-        self._body_bytes += len(chunk)
-        if self._body_bytes > self._server.limits.max_body_bytes:
+        body = self._partial.body
+        if len(body) + len(chunk) > self._server.limits.max_body_bytes:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         else:
-            self._chunks.append(chunk)
+            body += chunk
 
     def on_message_complete(self) -> None:
         """Dispatch the request, or queue it behind the one being served."""
@@ -235,14 +253,17 @@
         request = CallerRequest(
             self,
             self._parser.get_method(),
-            self._target,
-            self._headers,
-            b''.join(self._chunks),
+            self._partial.target,
+            self._partial.headers,
+            bytes(self._partial.body),
             self._loop.time(),
+            self._partial.held_bytes,
         )
-        if not self._parser.should_keep_alive():
+        self._partial = PartialRequest()
+        will_close = self._parser.should_upgrade()
+        if will_close or not self._parser.should_keep_alive():
             request.headers.append((b'connection', b'close'))
-        if self._current is None:
+        if self._can_dispatch:
             self._dispatch(request)
         elif len(self._queued) < _MAX_PIPELINED_REQUESTS:
             self._queued.append(request)
@@ -262,20 +283,31 @@
         self._last_active_at = self._loop.time()
         if transport is None or transport.is_closing():
             return
-        will_close = self._server.is_stopping
+        will_close = self._server.is_stopping or self._is_refused
         will_close = will_close or request.header(b'connection') == b'close'
         transport.write(
             _format_head(status, headers, len(body), will_close) + body
         )
         if will_close:
             transport.close()
-        elif self._queued:
+        elif self._queued and self._can_dispatch:
             self._dispatch(self._queued.popleft())
+            self._update_account()
+
+    @property
+    def _can_dispatch(self) -> bool:
+        return self._current is None and not self._is_writing_paused
 
     def _dispatch(self, request: CallerRequest) -> None:
         self._current = request
         self._server.dispatch(request)
 
+    def _update_account(self) -> None:
+        queued = sum(request.held_bytes for request in self._queued)
+        # The parser holds unfinished lines.
+        receiving = self._message_bytes + self._partial.overhead_bytes
+        self._account.update(0 if self._is_refused else queued + receiving)
+
     def _check_size(self) -> None:
         """Refuse a head, a body or trailers without end.
 
@@ -284,26 +316,28 @@
         limits = self._server.limits
         head_bytes = limits.max_header_bytes + _READ_BYTES
         body_bytes = limits.max_body_bytes * MAX_CHUNK_OVERHEAD
-        if not self._has_head and self._message_bytes > head_bytes:
+        if not self._partial.has_head and self._message_bytes > head_bytes:
             self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         elif self._message_bytes > head_bytes + body_bytes:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
 
-    def _add_header_bytes(self, size: int) -> None:
-        self._header_bytes += size
-        if self._header_bytes > self._server.limits.max_header_bytes:
+    def _check_head_size(self) -> None:
+        if self._partial.head_bytes > self._server.limits.max_header_bytes:
             self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def _refuse(self, status: HTTPStatus) -> None:
         if self._is_refused:
             return
         self._is_refused = True
+        self._partial = PartialRequest()
+        self._queued.clear()
         transport = self._transport
         if transport is None or transport.is_closing():
             return
+        # Behind an answer that is due, the connection is closed.
         if self._current is None:
             transport.write(_format_head(status, [], 0, will_close=True))
-        transport.close()
+            transport.close()
 
 
 def _format_head(
--- a/snipejunction/edge/gateway/const.py
+++ b/snipejunction/edge/gateway/const.py
@@ -31,9 +31,12 @@
 MAX_REPLY_BYTES: Final = 8388608
 # Maximum number of bytes before the end of a response's head.
 MAX_REPLY_HEAD_BYTES: Final = 131072
-# Upper bound of the bodies that are being received from all searchers, in
-# bytes: many searchers at once may send without end.
+# Upper bound of the unfinished answers of all searchers, in bytes: many
+# searchers at once may send without end.
 MAX_RECEIVED_BYTES: Final = 50331648
+# Upper bound of the requests of all callers that are not passed on yet, in
+# bytes.
+MAX_RECEIVED_REQUEST_BYTES: Final = 25165824
 # Bytes of a request's body on the wire for each byte of content: a chunk of one
 # byte takes six.
 MAX_CHUNK_OVERHEAD: Final = 6
--- a/snipejunction/edge/gateway/gateway_host.py
+++ b/snipejunction/edge/gateway/gateway_host.py
@@ -22,6 +22,10 @@
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.edge.event_log import EventLog
 from snipejunction.edge.gateway.caller_connection import CallerRequest
+from snipejunction.edge.gateway.const import (
+    MAX_RECEIVED_BYTES,
+    MAX_RECEIVED_REQUEST_BYTES,
+)
 from snipejunction.edge.gateway.control_link import ControlLink
 from snipejunction.edge.gateway.forwarding import ForwardedRequest
 from snipejunction.edge.gateway.header_names import HeaderNames
@@ -33,6 +37,7 @@
 from snipejunction.edge.gateway.searcher_pool import SearcherPool
 from snipejunction.edge.gateway.service_metrics import Gauges, ServiceMetrics
 from snipejunction.edge.keys import PeerKeys
+from snipejunction.edge.receive_budget import ReceiveBudget
 from snipejunction.errors import SettingsError, StorageError
 from snipejunction.timers import NEVER
 
@@ -86,9 +91,17 @@
             Random(seed),
             loop.time(),
         )
-        self.pool = SearcherPool(header_names, loop)
+        self.pool = SearcherPool(
+            header_names,
+            loop,
+            ReceiveBudget('searchers', MAX_RECEIVED_BYTES, self.log),
+        )
         self.metrics = ServiceMetrics()
-        self.caller_server: Final = HttpServer(self._handle_request, loop)
+        self.caller_server: Final = HttpServer(
+            self._handle_request,
+            loop,
+            ReceiveBudget('callers', MAX_RECEIVED_REQUEST_BYTES, self.log),
+        )
         self.link: Final = ControlLink(
             profile,
             self._address,
--- a/snipejunction/edge/gateway/http_server.py
+++ b/snipejunction/edge/gateway/http_server.py
@@ -19,6 +19,7 @@
     MAX_HEADER_BYTES,
     SWEEP_INTERVAL_SECONDS,
 )
+from snipejunction.edge.receive_budget import ReceiveBudget
 
 OnRequest: TypeAlias = Callable[[CallerRequest], None]
 
@@ -30,13 +31,18 @@
         self,
         on_request: OnRequest,
         loop: asyncio.AbstractEventLoop,
+        budget: ReceiveBudget,
     ) -> None:
-        """Create a server that does not listen yet."""
+        """Create a server that does not listen yet.
+
+        ``budget`` bounds the requests that its connections are receiving.
+        """
         self._on_request = on_request
         self._loop = loop
         self._connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
         self._sweep_timer: asyncio.TimerHandle | None = None
+        self.budget = budget
         self.is_stopping = False
         self.limits = CallerLimits(
             MAX_HEADER_BYTES,
--- /dev/null
+++ b/snipejunction/edge/gateway/partial_request.py
@@ -0,0 +1,47 @@
+"""A request that is being received from a caller."""
+
+from __future__ import annotations
+
+from snipejunction.edge.gateway.headers import Headers
+from snipejunction.edge.receive_budget import HEADER_OVERHEAD_BYTES
+
+# Separators and the end of a header line.
+_LINE_OVERHEAD_BYTES = 4
+
+
+class PartialRequest:
+    """The parts of a request that the parser has reported so far.
+
+    ``head_bytes`` is the size of the target, the headers and the trailers.
+    """
+
+    __slots__ = ('body', 'has_head', 'head_bytes', 'headers', 'target')
+
+    def __init__(self) -> None:
+        """Create a request of which nothing is received."""
+        self.target = b''
+        self.headers: Headers = []
+        self.head_bytes = 0
+        self.has_head = False
+        self.body = bytearray()
+
+    @property
+    def overhead_bytes(self) -> int:
+        """Return the memory beyond the bytes on the wire."""
+        return len(self.headers) * HEADER_OVERHEAD_BYTES
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the memory that the request takes."""
+        return self.head_bytes + len(self.body) + self.overhead_bytes
+
+    def add_target(self, part: bytes) -> None:
+        """Append a part of the target."""
+        self.target += part
+        self.head_bytes += len(part)
+
+    def add_header(self, name: bytes, field: bytes) -> None:
+        """Store a header; trailers count but are not stored."""
+        if not self.has_head:
+            self.headers.append((name.lower(), field))
+        self.head_bytes += len(name) + len(field) + _LINE_OVERHEAD_BYTES
--- a/snipejunction/edge/gateway/searcher_connection.py
+++ b/snipejunction/edge/gateway/searcher_connection.py
@@ -12,7 +12,6 @@
 from snipejunction.edge.gateway.const import (
     DEFAULT_IDLE_SECONDS,
     IDLE_MARGIN_SECONDS,
-    MAX_RECEIVED_BYTES,
     MAX_REPLY_BYTES,
     MAX_REPLY_HEAD_BYTES,
 )
@@ -23,6 +22,10 @@
     find_header,
     parse_whole_number,
 )
+from snipejunction.edge.receive_budget import (
+    HEADER_OVERHEAD_BYTES,
+    ReceiveBudget,
+)
 from snipejunction.helpers.rates import parse_rate
 
 OnOutcome: TypeAlias = Callable[[Outcome], None]
@@ -33,22 +36,13 @@
 _TIMEOUT_FIELD: Final = b'timeout='
 
 
-class ReceivedBytes:
-    """Size of the bodies that all connections of a host are receiving."""
-
-    __slots__ = ('total',)
-
-    def __init__(self) -> None:
-        """Create an empty count."""
-        self.total = 0
-
-
 class SearcherConnection(asyncio.Protocol):
     """Sends requests and matches answers to them by request id.
 
     A searcher may send bytes without end, in a head, a body, trailers, interim
     responses or answers to other requests. All of them count towards
-    ``MAX_REPLY_BYTES`` for one request.
+    ``MAX_REPLY_BYTES`` for one request, and what is held of an unfinished
+    answer towards the budget of all connections. Trailers are not stored.
     """
 
     def __init__(
@@ -56,11 +50,11 @@
         header_names: HeaderNames,
         loop: asyncio.AbstractEventLoop,
         on_lost: Callable[[SearcherConnection], None],
-        received_bytes: ReceivedBytes,
+        budget: ReceiveBudget,
     ) -> None:
         """Create the protocol of a connection that is being opened.
 
-        ``received_bytes`` is shared by all connections of a host.
+        ``budget`` is shared by all connections of a host.
         """
         self._header_names = header_names
         self._loop = loop
@@ -73,7 +67,7 @@
         self._idle_since = loop.time()
         self._can_reuse = True
         self._is_parsing = False
-        self._received_bytes = received_bytes
+        self._account = budget.open(self.close)
         self._body = bytearray()
         # Bytes since the request, and those of them before the current head.
         self._reply_bytes = 0
@@ -118,6 +112,7 @@
     def close(self, detail: str) -> None:
         """Abort the connection and report a request in flight as lost."""
         self._report_outcome(Outcome(OutcomeKind.LOST, detail=detail))
+        self._drop_reply()
         if self._transport is not None:
             self._transport.abort()
 
@@ -142,6 +137,8 @@
             self._is_parsing = False
         if self.is_busy:
             self._check_size()
+        else:
+            self._account.update(0)
 
     def eof_received(self) -> bool:
         """Complete an answer whose body is delimited by the end of stream."""
@@ -153,7 +150,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Report a request in flight as lost."""
         self._transport = None
-        self._reset_reply()
+        self._drop_reply()
         detail = 'connection closed' if error is None else str(error)
         self._report_outcome(Outcome(OutcomeKind.LOST, detail=detail))
         self._on_lost(self)
@@ -168,6 +165,9 @@
 
     def on_header(self, name: bytes, field: bytes) -> None:
         """Store a header and apply those about framing and keep-alive."""
+        if self._has_head:
+            # A trailer, which must not replace a header.
+            return
         lowered = name.lower()
         self._headers.append((lowered, field))
         if lowered == b'content-length':
@@ -186,7 +186,6 @@
     def on_body(self, chunk: bytes) -> None:
         """Append a chunk to the body."""
         self._body += chunk
-        self._received_bytes.total += len(chunk)
 
     def on_message_complete(self) -> None:
         """Complete the answer to the request in flight."""
@@ -252,17 +251,22 @@
                 self._idle_seconds = seconds - IDLE_MARGIN_SECONDS
 
     def _check_size(self) -> None:
-        head_bytes = self._reply_bytes - self._bytes_before_head
-        if not self._has_head and head_bytes > MAX_REPLY_HEAD_BYTES:
+        message_bytes = self._reply_bytes - self._bytes_before_head
+        if not self._has_head and message_bytes > MAX_REPLY_HEAD_BYTES:
             self.close(f'head over {MAX_REPLY_HEAD_BYTES} bytes')
         elif self._reply_bytes > MAX_REPLY_BYTES:
             self.close(f'answer over {MAX_REPLY_BYTES} bytes')
-        elif self._body and self._received_bytes.total > MAX_RECEIVED_BYTES:
-            self.close(f'all answers over {MAX_RECEIVED_BYTES} bytes')
+        else:
+            # The parser holds unfinished lines.
+            overhead = len(self._headers) * HEADER_OVERHEAD_BYTES
+            self._account.update(message_bytes + overhead)
+
+    def _drop_reply(self) -> None:
+        self._reset_reply()
+        self._account.update(0)
 
     def _reset_reply(self) -> None:
         self._headers: Headers = []
-        self._received_bytes.total -= len(self._body)
         self._body = bytearray()
         self._bytes_before_head = self._reply_bytes
         self._has_head = False
--- a/snipejunction/edge/gateway/searcher_pool.py
+++ b/snipejunction/edge/gateway/searcher_pool.py
@@ -13,9 +13,9 @@
 from snipejunction.edge.gateway.host_profile import parse_address
 from snipejunction.edge.gateway.searcher_connection import (
     OnOutcome,
-    ReceivedBytes,
     SearcherConnection,
 )
+from snipejunction.edge.receive_budget import ReceiveBudget
 from snipejunction.errors import SettingsError
 
 
@@ -63,13 +63,14 @@
         self,
         header_names: HeaderNames,
         loop: asyncio.AbstractEventLoop,
+        budget: ReceiveBudget,
     ) -> None:
-        """Create an empty pool."""
+        """Create an empty pool; ``budget`` bounds what it receives."""
         self._header_names = header_names
         self._loop = loop
         self._by_searcher: dict[tuple[str, int], set[SearcherConnection]] = {}
         self._connecting: set[asyncio.Task[None]] = set()
-        self._received_bytes = ReceivedBytes()
+        self._budget = budget
         self.opened_connections = 0
 
     @property
@@ -171,7 +172,7 @@
             key,
         )
         return SearcherConnection(
-            self._header_names, self._loop, on_lost, self._received_bytes
+            self._header_names, self._loop, on_lost, self._budget
         )
 
     def _remove(
--- a/snipejunction/edge/peer_stream.py
+++ b/snipejunction/edge/peer_stream.py
@@ -14,6 +14,7 @@
 )
 from snipejunction.edge.frames import HEARTBEAT, FrameReader, encode_frame
 from snipejunction.edge.handshake import Handshake
+from snipejunction.edge.receive_budget import ReceiveBudget
 from snipejunction.errors import PeerError
 from snipejunction.helpers.wire import MAX_FRAME_BYTES, decode, encode
 from snipejunction.helpers.wire_codecs import WireError
@@ -25,6 +26,8 @@
 class StreamOwner(Protocol):
     """Callbacks of a stream into the table that owns it."""
 
+    budget: ReceiveBudget
+
     def stream_made(self, stream: PeerStream) -> bool:
         """Register a new stream; return False to reject it."""
 
@@ -64,6 +67,7 @@
         self._loop = loop
         self._is_dialed = is_dialed
         self._reader = FrameReader(MAX_HELLO_BYTES)
+        self._account = owner.budget.open(self.close)
         self._transport: asyncio.Transport | None = None
         self._outbox: list[bytes] = []
         self._outbox_bytes = 0
@@ -114,6 +118,7 @@
         self._last_received = self._loop.time()
         try:
             self._handle_frames(received)
+            self._account.update(self._reader.buffered_bytes)
         except (PeerError, WireError) as error:
             self.close(str(error))
 
@@ -122,6 +127,7 @@
         if error is not None:
             self._reason = str(error)
         self._transport = None
+        self._account.update(0)
         self._owner.stream_closed(self, self._reason)
 
     def send(self, frame: bytes) -> bool:
--- a/snipejunction/edge/peers.py
+++ b/snipejunction/edge/peers.py
@@ -26,12 +26,14 @@
     MIN_REDIAL_SECONDS,
     RECEIVE_TIMEOUT_SECONDS,
     MAX_PENDING_SECONDS,
+    MAX_RECEIVED_FRAMES_BYTES,
     STREAM_CHECK_SECONDS,
 )
 from snipejunction.edge.frames import encode_frame
 from snipejunction.edge.handshake import Handshake
 from snipejunction.edge.keys import PeerKeys
 from snipejunction.edge.peer_stream import REASON_SILENT, PeerStream
+from snipejunction.edge.receive_budget import ReceiveBudget
 from snipejunction.helpers.wire import encode
 from snipejunction.helpers.wire_codecs import WireError
 from snipejunction.messages import (
@@ -92,6 +94,9 @@
         self._incarnation = incarnation
         self._keys = keys
         self._hooks = hooks
+        self.budget = ReceiveBudget(
+            'peers', MAX_RECEIVED_FRAMES_BYTES, hooks.log
+        )
         self._loop = loop
         self._random = Random()
         self._peers: dict[str, _Peer] = {}
--- a/snipejunction/platform/process.py
+++ b/snipejunction/platform/process.py
@@ -20,11 +20,13 @@
 from snipejunction.edge.gateway.const import (
     EVENT_SETTINGS_KEPT,
     EVENT_SETTINGS_READ,
+    MAX_RECEIVED_REQUEST_BYTES,
 )
 from snipejunction.edge.gateway.headers import content_type_headers
 from snipejunction.edge.gateway.host_profile import HostProfile
 from snipejunction.edge.gateway.http_server import HttpServer
 from snipejunction.edge.peers import Address
+from snipejunction.edge.receive_budget import ReceiveBudget
 from snipejunction.errors import SettingsError, StorageError
 from snipejunction.platform import names
 from snipejunction.platform.settings import load_profile
@@ -76,6 +78,9 @@
         self._role = role
         self._file_stamp = _read_file_stamp(path)
         self._host: Host | None = None
+        self._budget = ReceiveBudget(
+            'operators', MAX_RECEIVED_REQUEST_BYTES, self.log.write
+        )
         self._poll_timer: asyncio.TimerHandle | None = None
 
     async def async_serve(self, host: Host, stack: AsyncExitStack) -> int:
@@ -112,7 +117,7 @@
         """Start an HTTP server; do nothing without an address."""
         if address is None:
             return
-        server = HttpServer(on_request, self.loop)
+        server = HttpServer(on_request, self.loop, self._budget)
         stack.callback(server.close)
         await server.async_listen(*address)
 
--- a/tests/edge/gateway/test_searcher_pool.py
+++ b/tests/edge/gateway/test_searcher_pool.py
@@ -10,10 +10,12 @@
 
 from snipejunction.components.gateway.replies import Outcome, OutcomeKind
 from snipejunction.components.gateway.upstreams import Upstream
+from snipejunction.edge.gateway.const import MAX_RECEIVED_BYTES
 from snipejunction.edge.gateway.searcher_pool import (
     PendingRequest,
     SearcherPool,
 )
+from snipejunction.edge.receive_budget import ReceiveBudget
 from snipejunction.timers import NEVER
 from tests.components.gateway.stage import make_record
 from tests.edge.gateway.scripted import (
@@ -25,6 +27,11 @@
 )
 
 
+def make_budget() -> ReceiveBudget:
+    """Return a budget of a host's searchers without a log."""
+    return ReceiveBudget('searchers', MAX_RECEIVED_BYTES, lambda event: None)
+
+
 async def async_answer(received: ReceivedRequest) -> None:
     """Answer with status 200."""
     received.writer.write(answer(received.request_id))
@@ -133,12 +140,12 @@
 class Caller:
     """Sends requests to one searcher through a pool."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, budget: ReceiveBudget) -> None:
         self.loop = asyncio.get_running_loop()
         record = make_record('i-1')
         record.address = address
         self.upstream = Upstream(record, 'c', 0)
-        self.pool = SearcherPool(HEADER_NAMES, self.loop)
+        self.pool = SearcherPool(HEADER_NAMES, self.loop, budget)
         self.last: PendingRequest | None = None
 
     def send(self, request_id: str = 'r1') -> asyncio.Future[Outcome]:
@@ -154,10 +161,15 @@
 class PoolCase(TestCase):
     """Base class with a pool and a scripted searcher."""
 
-    async def async_open(self, stack: AsyncExitStack, script) -> Caller:
+    async def async_open(
+        self,
+        stack: AsyncExitStack,
+        script,
+        budget: ReceiveBudget | None = None,
+    ) -> Caller:
         searcher = ScriptedSearcher(script)
         self.searcher = await stack.enter_async_context(searcher)
-        caller = Caller(searcher.address)
+        caller = Caller(searcher.address, budget or make_budget())
         stack.push_async_callback(caller.pool.async_close)
         return caller
 
@@ -375,7 +387,8 @@
     @in_loop
     async def test_refused(self) -> None:
         """The request is reported as refused and does not hang."""
-        pool = SearcherPool(HEADER_NAMES, ResetLoop(asyncio.get_running_loop()))
+        loop = ResetLoop(asyncio.get_running_loop())
+        pool = SearcherPool(HEADER_NAMES, loop, make_budget())
         outcomes: list[Outcome] = []
         upstream = Upstream(make_record('a'), 'c', 0)
         pool.send(upstream, PendingRequest(b'', b'r', outcomes.append))
--- a/tests/edge/support.py
+++ b/tests/edge/support.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -32,6 +33,14 @@
         await asyncio.sleep(0.005)
 
 
+def connected_sockets() -> tuple[socket.socket, socket.socket]:
+    """Return both ends of a connection, not blocking."""
+    ends = socket.socketpair()
+    for end in ends:
+        end.setblocking(False)
+    return ends
+
+
 class FakePeerHost:
     """Peer table of one host without its systems."""
 
@@ -79,6 +88,11 @@
         """Record the number of an event."""
         self.events.append(event.event.number)
 
+    def write_raw(self, content: bytes) -> None:
+        """Write bytes to the only stream of this host."""
+        for stream in self.table._streams:  # noqa: SLF001
+            stream.send(content)
+
     def cancelled_ids(self) -> list[int]:
         """Return the sub ids of the cancellations received."""
         return [
