Tell cancelled attempts from lost ones; send none for nobody

Cause: cancelling an attempt reported it as lost, and a run that still waits repeats what is lost.

Change: a cancelled attempt has an outcome of its own, which is never repeated and does not count against the searcher unless the request was answered. A run whose caller left sends nothing more. At the end of the grace period a run answers first; the period for answers is 0.9 of it (was 0.8), so that fewer requests are cut short, and 0.95 for their last bytes.

--- a/snipejunction/components/gateway/replies.py
+++ b/snipejunction/components/gateway/replies.py
@@ -55,13 +55,15 @@
     # No byte of the request was sent.
     UNSENT = 'unsent'
     REFUSED = 'refused'
+    # This host no longer wants the answer; the request may have run.
+    CANCELLED = 'cancelled'
     # Any other failure: the request may have run.
     LOST = 'lost'
 
     @property
     def has_not_run(self) -> bool:
         """Return whether the request certainly did not run."""
-        return self not in {OutcomeKind.ANSWERED, OutcomeKind.LOST}
+        return self not in _MAY_HAVE_RUN
 
     @property
     def may_have_arrived(self) -> bool:
@@ -69,6 +71,11 @@
         return self not in {OutcomeKind.UNSENT, OutcomeKind.REFUSED}
 
 
+_MAY_HAVE_RUN: Final = frozenset(
+    (OutcomeKind.ANSWERED, OutcomeKind.CANCELLED, OutcomeKind.LOST)
+)
+
+
 class Outcome(Record):
     """How an attempt ended; ``reply`` is set if the searcher answered.
 
--- a/snipejunction/components/gateway/run.py
+++ b/snipejunction/components/gateway/run.py
@@ -40,6 +40,7 @@
 from snipejunction.components.gateway.replies import (
     Answer,
     Outcome,
+    OutcomeKind,
 )
 from snipejunction.components.gateway.routing import pick_target
 from snipejunction.components.gateway.stated_limits import (
@@ -59,7 +60,8 @@
     """Drives one request until it has an answer.
 
     ``deadline`` is when the caller or the route gives up, in monotonic
-    seconds. ``answer`` is None until the request is finished.
+    seconds. ``answer`` is None until the request is finished. Nothing more is
+    sent for a run that ``is_abandoned`` because its caller left.
     """
 
     __slots__ = (
@@ -72,6 +74,7 @@
         '_table',
         'answer',
         'deadline',
+        'is_abandoned',
         'parts',
         'request_id',
     )
@@ -100,6 +103,7 @@
         self.parts = [Part(service) for service in services]
         self.answer: Answer | None = None
         self._covered = 0
+        self.is_abandoned = False
         self._checked_relays: set[str] = set()
         self._next_due = self.deadline
 
@@ -134,7 +138,7 @@
 
     def advance(self, now: float) -> Iterator[Command]:
         """Send the hedges that are due; finish if the answer is due."""
-        if self.answer is not None:
+        if self.answer is not None or self.is_abandoned:
             return
         wait = self._hedge_delay()
         for part in self.parts:
@@ -145,6 +149,10 @@
         self._update_next_due(now)
         self._finish_if_due(now)
 
+    def end(self, now: float) -> None:
+        """Finish with what is covered, because this host stops."""
+        self._finish_if_due(now, is_ending=True)
+
     def handle_outcome(
         self,
         attempt: Attempt,
@@ -324,6 +332,8 @@
         outcome: Outcome,
         now: float,
     ) -> Iterator[Command]:
+        if self.is_abandoned or outcome.kind is OutcomeKind.CANCELLED:
+            return
         if not self._route.is_idempotent and not outcome.kind.has_not_run:
             return
         if part.possible_runs >= self._route.attempts:
@@ -409,6 +419,9 @@
         upstream = attempt.upstream
         upstream.in_flight -= 1
         upstream.record_outcome(outcome, now)
+        if outcome.kind is OutcomeKind.CANCELLED and self.answer is not None:
+            # It was slower than the others, or than the deadline.
+            upstream.record_failure(now)
         if outcome.valid_reply is None:
             return
         elapsed = outcome.seconds
@@ -424,23 +437,22 @@
         share = covered / len(self.parts)
         return covered > 0 and share >= self._route.min_share
 
-    def _finish_if_due(self, now: float) -> None:
+    def _finish_if_due(self, now: float, *, is_ending: bool = False) -> None:
         if self.answer is not None:
             return
         is_complete = self._covered == len(self.parts)
         is_waiting = not is_complete and any(
             part.is_waiting for part in self.parts
         )
-        if is_waiting and now < self.deadline:
+        if is_waiting and now < self.deadline and not is_ending:
             is_due = now >= self._partial_answer_due
             if not (is_due and self._has_enough_parts(self.covered)):
                 return
         if self._has_enough_parts(self.covered):
             self.answer = make_success(self._route, self.parts)
         else:
-            is_past_deadline = now >= self.deadline
             self.answer = make_failure(
                 self._route,
                 self.parts,
-                is_past_deadline=is_past_deadline,
+                is_past_deadline=now >= self.deadline,
             )
--- a/snipejunction/components/gateway/upstreams.py
+++ b/snipejunction/components/gateway/upstreams.py
@@ -18,6 +18,8 @@
 from snipejunction.timers import NEVER
 
 _HALF = 0.5
+# Outcomes without a reply that are not the searcher's doing.
+_NO_FAILURES = frozenset((OutcomeKind.UNSENT, OutcomeKind.CANCELLED))
 
 
 class Allowance(SendLog):
@@ -99,10 +101,7 @@
         elif outcome.kind is OutcomeKind.REFUSED:
             self._back_off(now)
             self.record_failure(now)
-        elif (
-            outcome.kind is not OutcomeKind.UNSENT
-            and outcome.valid_reply is None
-        ):
+        elif outcome.kind not in _NO_FAILURES and outcome.valid_reply is None:
             self.record_failure(now)
 
     def record_failure(self, now: float) -> None:
--- a/snipejunction/edge/gateway/forwarding.py
+++ b/snipejunction/edge/gateway/forwarding.py
@@ -106,9 +106,10 @@
         self._respond_or_wait()
 
     def abort(self, detail: str) -> None:
-        """Cancel all open attempts because the host is stopping."""
-        self._cancel_all(detail)
+        """Answer at once and cancel all open attempts, as the host stops."""
+        self._run.end(self._loop.time())
         self._respond_or_wait()
+        self._cancel_all(detail)
 
     def _advance(self) -> None:
         self._timer = None
@@ -172,14 +173,16 @@
         self._respond_or_wait()
 
     def _respond_or_wait(self) -> None:
+        if self._is_disconnected:
+            return
         answer = self._run.answer
-        if answer is None and not self._is_disconnected:
+        if answer is None:
             self._schedule_advance(self._run.next_due)
             return
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        if answer is not None and not self._request.is_answered:
+        if not self._request.is_answered:
             self._respond(answer)
 
     def _schedule_advance(self, due: float) -> None:
@@ -235,6 +238,7 @@
     def _handle_disconnect(self) -> None:
         """End the request without an answer."""
         self._is_disconnected = True
+        self._run.is_abandoned = True
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
--- a/snipejunction/edge/gateway/gateway_host.py
+++ b/snipejunction/edge/gateway/gateway_host.py
@@ -43,9 +43,11 @@
 
 # Shares of the grace period of a stop. The host accepts requests for the
 # first share, since callers cache its address for some seconds; open requests
-# may run until the end of the second share, before the process is killed.
+# may run until the end of the second share, and their answers are sent until
+# the end of the third one, before the process is killed.
 _ACCEPT_SHARE: Final = 0.65
-_GRACE_SHARE: Final = 0.8
+_GRACE_SHARE: Final = 0.9
+_FLUSH_SHARE: Final = 0.95
 _STOP_POLL_SECONDS: Final = 0.05
 _MILLISECONDS: Final = 1000
 _NOT_FOUND: Final = 404
@@ -167,13 +169,13 @@
         self.link.send_heartbeats()
         self.caller_server.is_stopping = True
         started = self._loop.time()
-        await asyncio.sleep(self._profile.stop_grace_seconds * _ACCEPT_SHARE)
+        grace_seconds = self._profile.stop_grace_seconds
+        await asyncio.sleep(grace_seconds * _ACCEPT_SHARE)
         self.caller_server.stop_listening()
-        end = started + self._profile.stop_grace_seconds * _GRACE_SHARE
-        while self._is_busy and self._loop.time() < end:
-            await asyncio.sleep(_STOP_POLL_SECONDS)
+        await self._async_wait_idle(started + grace_seconds * _GRACE_SHARE)
         for forwarded in list(self._open_requests):
             forwarded.abort('this host stops')
+        await self._async_wait_idle(started + grace_seconds * _FLUSH_SHARE)
         await asyncio.sleep(_STOP_POLL_SECONDS)
 
     def update_seeds(self, seeds: tuple[str, ...]) -> None:
@@ -206,6 +208,10 @@
         """Close the idle connections to a removed searcher."""
         self.pool.close_idle(searcher_id)
 
+    async def _async_wait_idle(self, end: float) -> None:
+        while self._is_busy and self._loop.time() < end:
+            await asyncio.sleep(_STOP_POLL_SECONDS)
+
     @property
     def _is_busy(self) -> bool:
         return self.caller_server.is_busy or self._relays.jobs.is_busy
--- a/snipejunction/edge/gateway/searcher_connection.py
+++ b/snipejunction/edge/gateway/searcher_connection.py
@@ -109,9 +109,9 @@
         self._reset_reply()
         self._transport.write(content)
 
-    def close(self, detail: str) -> None:
-        """Abort the connection and report a request in flight as lost."""
-        self._report_outcome(Outcome(OutcomeKind.LOST, detail=detail))
+    def close(self, detail: str, kind: OutcomeKind = OutcomeKind.LOST) -> None:
+        """Abort the connection; a request in flight ends as ``kind``."""
+        self._report_outcome(Outcome(kind, detail=detail))
         self._drop_reply()
         if self._transport is not None:
             self._transport.abort()
--- a/snipejunction/edge/gateway/searcher_pool.py
+++ b/snipejunction/edge/gateway/searcher_pool.py
@@ -53,7 +53,7 @@
         if self.connection is None:
             self.finish(Outcome(OutcomeKind.UNSENT, detail=detail))
         elif not self.is_done:
-            self.connection.close(detail)
+            self.connection.close(detail, OutcomeKind.CANCELLED)
 
 
 class SearcherPool:
@@ -115,7 +115,7 @@
         await asyncio.gather(*self._connecting, return_exceptions=True)
         for connections in list(self._by_searcher.values()):
             for connection in list(connections):
-                connection.close('this host stops')
+                connection.close('this host stops', OutcomeKind.CANCELLED)
 
     def _send_on(
         self,
--- a/tests/components/gateway/test_run.py
+++ b/tests/components/gateway/test_run.py
@@ -212,6 +212,49 @@
         self.assertThat(self.request_run.answer.status, Equals(502))
 
 
+class CancelledTest(RunCase):
+    """Requests whose answer nobody waits for any more."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.start_run(make_route(attempts=2))
+
+    def test_cancelled_is_not_repeated(self) -> None:
+        """What this host cancelled is not sent to another searcher."""
+        cancelled = Outcome(OutcomeKind.CANCELLED)
+        self.assertThat(
+            self.handle_outcome(self.sent[0], cancelled), Equals([])
+        )
+        upstream = self.sent[0].upstream
+        self.assertThat(upstream.failure_rate(10.01), Equals(0))
+
+    def test_nothing_is_sent_after_the_caller_left(self) -> None:
+        """Neither a failure nor a late searcher causes another attempt."""
+        for kind in OutcomeKind:
+            if kind is OutcomeKind.ANSWERED:
+                continue
+            self.start_run(make_route(attempts=2))
+            self.request_run.is_abandoned = True
+            self.assertThat(self.advance(10.9), Equals([]))
+            sent = self.handle_outcome(self.sent[0], Outcome(kind))
+            self.assertThat(sent, Equals([]))
+
+    def test_slower_than_the_answer(self) -> None:
+        """An attempt that is cancelled behind the answer counts as failed."""
+        hedge = self.advance(10.9)[0]
+        self.handle_outcome(hedge, answered(), 10.91)
+        cancelled = Outcome(OutcomeKind.CANCELLED)
+        self.handle_outcome(self.sent[0], cancelled, 10.95)
+        upstream = self.sent[0].upstream
+        self.assertThat(upstream.failure_rate(10.95), GreaterThan(0))
+
+    def test_end(self) -> None:
+        """A request that may have run is not answered as not run."""
+        self.request_run.end(10.5)
+        self.assertThat(self.request_run.answer.status, Equals(502))
+        self.assertThat(self.request_run.answer.retry_after, Equals(0))
+
+
 class BudgetTest(RunCase):
     """The repeat budget."""
 
