Send searchers to control hosts that join after they connected

Entry hosts that subscribe to a control host which has just joined know few searchers, or take some for silent.

Cause: a control host sends its searchers to another one when the stream opens, if that host is a member. Hosts with an empty disk and hosts at a new address connect before they are members, and know no members themselves.

Change: each member gets the entry hosts and searchers of a host once it is a member of the group, whenever its stream was opened.

Evidence: the two tests of JoiningTest failed before the change (searcher unknown at the other hosts, and at the new host) and pass now.

--- a/snipejunction/components/deployment/systems/host_updates.py
+++ b/snipejunction/components/deployment/systems/host_updates.py
@@ -155,17 +155,35 @@
         yield from _send_deployment(name, entry, node)
 
 
+@on_tick
+def run_control_sync(node: Node, now: float) -> Iterator[Command]:
+    """Send what this host knows to control hosts that became members.
+
+    Their streams may be older than their membership, or than this host's.
+    """
+    synced = node.deployment.synced_controls
+    others = node.consensus.other_names(GROUP_DEPLOYMENT, node.name)
+    synced.intersection_update(others)
+    for name in others:
+        if name not in synced:
+            yield from _send_all_to_control(name, node, now)
+
+
 def _sync_control(
     notice: PeerConnected, node: Node, now: float
 ) -> Iterator[Command]:
-    """Send the entry hosts and searchers of this host to a control host."""
     others = node.consensus.other_names(GROUP_DEPLOYMENT, node.name)
     if notice.host in others:
-        yield SendPeer(
-            notice.host,
-            EntriesUpdate(node.deployment.local_entry_records()),
-        )
-        yield from send_searchers_to_control(notice.host, node, now)
+        yield from _send_all_to_control(notice.host, node, now)
+
+
+def _send_all_to_control(
+    name: str, node: Node, now: float
+) -> Iterator[Command]:
+    """Send the entry hosts and searchers of this host to a control host."""
+    node.deployment.synced_controls.add(name)
+    yield SendPeer(name, EntriesUpdate(node.deployment.local_entry_records()))
+    yield from send_searchers_to_control(name, node, now)
 
 
 def _remove_host(notice: PeerLost, node: Node, now: float) -> Iterator[Command]:
--- a/snipejunction/components/deployment/tables.py
+++ b/snipejunction/components/deployment/tables.py
@@ -100,6 +100,7 @@
         'reads',
         'seeds',
         'state',
+        'synced_controls',
     )
 
     def __init__(self) -> None:
@@ -117,6 +118,8 @@
         self.confirmed_reads: dict[int, int] = {}
         self.announcement_due = -NEVER
         self.cut_off_since: float | None = None
+        # Members that got the entry hosts and searchers of this host.
+        self.synced_controls: set[str] = set()
         self._next_token = 0
 
     @property
--- a/tests/components/deployment/harness.py
+++ b/tests/components/deployment/harness.py
@@ -120,6 +120,7 @@
         yield from super()._tick(node)
         yield from systems.membership.run_membership(node, self.now)
         yield from systems.host_updates.run_host_updates(node, self.now)
+        yield from systems.host_updates.run_control_sync(node, self.now)
         yield from run_sweep(node, self.now)
         yield from run_searcher_updates(node, self.now)
 
--- a/tests/components/registration/test_relaying.py
+++ b/tests/components/registration/test_relaying.py
@@ -166,6 +166,37 @@
         self.assertThat(self.known('h3').is_silent, Is(False))
 
 
+class JoiningTest(RelayCase):
+    """Control hosts that connect before they are members."""
+
+    def test_replaced_disk(self) -> None:
+        """A host that joins reports what it received before it was a member.
+
+        Guards against searchers that count as silent at the other hosts.
+        """
+        self.cluster.wipe('h3')
+        self.cluster.isolate('h3')
+        self.cluster.start('h3')
+        for name, other in (('h3', 'h1'), ('h1', 'h3')):
+            self.connect(name, other)
+        self.announce('h3', 1)
+        self.cluster.run(1)
+        self.cluster.heal()
+        self.cluster.run(2.5)
+        self.announce('h3', 2)
+        self.cluster.run(1)
+        self.assertThat(self.cluster.voter_names(), Equals(set(SEEDS)))
+        self.assertThat(self.states(), Equals([READY, READY, READY]))
+
+    def test_new_host(self) -> None:
+        """A host at a new address learns of the searchers of the others."""
+        self.announce('h1', 1)
+        self.cluster.add_host('h4', 'dc1')
+        self.connect('h1', 'h4')
+        self.cluster.run(3)
+        self.assertThat(self.known('h4').is_silent, Is(False))
+
+
 class PowerReturnTest(RelayCase):
     """All searchers of a large deployment announce themselves at once."""
 
