--- a/tests/edge/gateway/test_gateway_host.py
+++ b/tests/edge/gateway/test_gateway_host.py
@@ -108,6 +108,14 @@
     received.writer.write(answer(received.request_id))
 
 
+async def async_shed(release: asyncio.Event, received: ReceivedRequest) -> None:
+    """Report after ``release`` is set that the request did not run."""
+    await release.wait()
+    received.writer.write(
+        answer(received.request_id, b'', '503 Busy', ('X-Not-Run: 1',))
+    )
+
+
 async def async_never_answer(received: ReceivedRequest) -> None:
     """Never answer; wait for the connection to close."""
     await received.reader.read()
@@ -282,6 +290,28 @@
             ]
             self.assertThat(rates, Equals([0, 0]))
 
+    @in_loop
+    async def test_shed_after_the_caller_left(self) -> None:
+        """A request that a searcher sheds after the caller left is dropped."""
+        release = asyncio.Event()
+        script = partial(async_shed, release)
+        async with AsyncExitStack() as stack:
+            host = await self.async_open(stack, script, make_route())
+            other = await self.async_add_searcher(stack, host, 's')
+            both = (self.searchers['s'], other)
+            _, writer = await asyncio.open_connection(*self.address)
+            writer.write(request())
+            while not any(searcher.received_requests for searcher in both):
+                await asyncio.sleep(0.001)
+            writer.close()
+            while host.caller_server.connection_count:
+                await asyncio.sleep(0.001)
+            release.set()
+            # Longer than it takes to send a request.
+            await asyncio.sleep(0.1)
+            count = sum(len(searcher.received_requests) for searcher in both)
+            self.assertThat(count, Equals(1))
+
     async def refuse(self, received: ReceivedRequest) -> None:
         raise AssertionError('the searcher received a request')
 
