Drop a false sentence from the docstring of ReceiveBudget.open

It asked the close function to empty the account; the budget does so itself. Found when the whole change was read once more. No behaviour changed.

--- a/snipejunction/edge/receive_budget.py
+++ b/snipejunction/edge/receive_budget.py
@@ -59,10 +59,7 @@
         return self._total
 
     def open(self, close: Callable[[str], None]) -> ReceiveAccount:
-        """Return the account of a new connection.
-
-        ``close`` has to empty the account.
-        """
+        """Return the empty account of a new connection."""
         return ReceiveAccount(self, close)
 
     def change(self, account: ReceiveAccount, growth: int) -> None:
