Keep a leaving searcher leaving until it starts again

Cause: three ways in which a control host forgot that a searcher leaves while it runs. A heartbeat with a higher sequence that says ready was believed; a searcher first heard of as silent kept that state against the record of the same sequence that says it leaves; and a leaving searcher that is silent at all control hosts was told to new entry hosts as silent, which they may use.

--- a/snipejunction/components/registration/searcher_status.py
+++ b/snipejunction/components/registration/searcher_status.py
@@ -4,7 +4,11 @@
 
 from typing import Final
 
-from snipejunction.components.registration.const import GONE, SILENT
+from snipejunction.components.registration.const import (
+    GONE,
+    LEAVING,
+    SILENT,
+)
 from snipejunction.components.registration.messages import SearcherRecord
 
 # Smallest difference of the end of the cold time that counts as a change, in
@@ -90,8 +94,14 @@
 
     def _replace_record(self, record: SearcherRecord, now: float) -> bool:
         old = self.record
-        if record.sequence <= old.sequence:
+        # The first record may tell that the searcher is silent, but not the
+        # state that it announced with this sequence.
+        lowest = old.sequence if old.state == SILENT else old.sequence + 1
+        if record.sequence < lowest:
             return False
+        if old.state == LEAVING:
+            # A searcher that leaves is used again only after a new start.
+            record.state = LEAVING
         self.record = record
         cold_until = now + record.cold_left
         cold_shift = abs(cold_until - self.cold_until)
--- a/snipejunction/components/registration/systems/announcing.py
+++ b/snipejunction/components/registration/systems/announcing.py
@@ -179,7 +179,11 @@
 
 
 def _merged_state(known: KnownSearcher) -> int:
-    return SILENT if known.is_silent else known.record.state
+    state = known.record.state
+    if not known.is_silent:
+        return state
+    # A leaving searcher that is silent at all control hosts has ended.
+    return GONE if state in _URGENT_STATES else SILENT
 
 
 def _local_state(known: KnownSearcher, node: Node) -> int:
--- a/tests/components/registration/test_relaying.py
+++ b/tests/components/registration/test_relaying.py
@@ -26,6 +26,7 @@
 )
 from snipejunction.components.registration.systems.announcing import (
     run_searcher_updates,
+    send_searchers_to_entry,
 )
 from snipejunction.handling import handle
 from snipejunction.helpers.wire import decode, encode
@@ -119,6 +120,58 @@
         self.assertThat(self.states(), Equals([GONE, GONE, GONE]))
 
 
+class LeavingTest(RelayCase):
+    """Searchers that leave stay so until they start again."""
+
+    def told_states(self, name: str) -> list[int]:
+        """Return what an entry host is told of the searcher."""
+        node = self.cluster.hosts[name].node
+        updates = send_searchers_to_entry('e', node, self.cluster.now)
+        return [
+            record.state
+            for update in updates
+            for record in update.message.searchers
+        ]
+
+    def report(self, sender: str, state: int) -> None:
+        """Let a control host tell the first one of the searcher."""
+        update = SearcherUpdate([make_record('a', sequence=5, state=state)])
+        update.sender = sender
+        self.cluster.process(self.cluster.hosts['h1'], update)
+
+    def test_ready_afterwards(self) -> None:
+        """A heartbeat of the same start does not make it ready again."""
+        self.announce('h1', 5, LEAVING)
+        for name, sequence in (('h1', 4), ('h2', 6)):
+            self.announce(name, sequence)
+            self.cluster.run(1)
+            self.assertThat(self.told_states(name), Equals([LEAVING]))
+
+    def test_first_heard_as_silent(self) -> None:
+        """A searcher first heard of as silent still leaves.
+
+        Guards against a leaving state that is dropped as it comes with the
+        sequence number of the silent record.
+        """
+        self.report('h2', SILENT)
+        self.report('h3', LEAVING)
+        self.assertThat(self.told_states('h1'), Equals([LEAVING]))
+
+    def test_silent(self) -> None:
+        """A leaving searcher that is silent everywhere has ended.
+
+        Guards against restarted entry hosts that use a silent searcher.
+        """
+        self.announce('h1', 5, LEAVING)
+        self.report('h2', LEAVING)
+        for name in ('h2', 'h3'):
+            self.cluster.crash(name)
+        self.cluster.run(SILENCE)
+        self.assertThat(self.told_states('h1'), Equals([LEAVING]))
+        self.report('h2', SILENT)
+        self.assertThat(self.told_states('h1'), Equals([GONE]))
+
+
 class NotifyingTest(RelayCase):
     """Number of updates that a control host sends."""
 
