Commit departures of searchers before they are acknowledged

Cause: what a searcher said about its end was held in the memory of the hosts that heard it. Evidence: event 920 for the late heartbeat at all restarted control hosts, event 942 ready at the restarted entry hosts only; without the kill the rule held.

Change: leaving and the end are entries of the deployment log, and the answer waits until a majority holds them. Control hosts check all records against the departures in the log. Ends name the start that they are about. Entry hosts compare update_index, so that documents are not sent again.

--- a/snipejunction/components/deployment/const.py
+++ b/snipejunction/components/deployment/const.py
@@ -21,6 +21,8 @@
 VOTER_TIMEOUT_SECONDS: Final = 2.5
 # Upper bound of the orders, and of the reads, that wait for the log at a host.
 MAX_PENDING_CALLS: Final = 256
+# Of these orders, those that departures of searchers may take up.
+MAX_PENDING_DEPARTURES: Final = 192
 # Delay after which changes of the known hosts are sent in one update, in
 # seconds: many hosts may start or stop at once.
 HOSTS_UPDATE_DELAY_SECONDS: Final = 0.1
--- a/snipejunction/components/deployment/machine.py
+++ b/snipejunction/components/deployment/machine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from functools import singledispatch
 
 import msgpack
 
@@ -26,6 +27,16 @@
 )
 from snipejunction.components.deployment.systems.reading import answer_reads
 from snipejunction.components.deployment.tables import DeploymentState
+from snipejunction.components.registration.const import (
+    EVENT_DEPARTURE_ACCEPTED,
+    STATE_NAMES,
+)
+from snipejunction.components.registration.departures import unpack_departures
+from snipejunction.components.registration.messages import DepartureEntry
+from snipejunction.components.registration.systems.departing import (
+    apply_all_departures,
+    apply_departure,
+)
 from snipejunction.const import GROUP_DEPLOYMENT
 from snipejunction.helpers.wire import decode
 from snipejunction.node import Node
@@ -51,7 +62,7 @@
         """Apply an entry, send it to the entry hosts, then answer calls."""
         self._state.index = index
         node.deployment.state = self._state
-        yield from _apply_entry(decode(payload), self._state)
+        yield from _apply_entry(decode(payload), node, now)
         yield from send_deployment_to_all(node, now)
         yield from answer_reads(node)
         order = node.deployment.orders.pop(index, None)
@@ -67,7 +78,14 @@
     def snapshot(self) -> bytes:
         """Return the whole state."""
         state = self._state
-        fields = [state.index, state.version, state.content, state.drained]
+        fields = [
+            state.index,
+            state.version,
+            state.content,
+            state.drained,
+            state.update_index,
+            state.departures.pack(),
+        ]
         return bytes(msgpack.packb(fields))
 
     def restore(
@@ -80,12 +98,9 @@
         """Replace the state and send it to the entry hosts."""
         self._state = DeploymentState()
         if state:
-            fields = msgpack.unpackb(state)
-            self._state.index = fields[0]
-            self._state.version = fields[1]
-            self._state.content = fields[2]
-            self._state.drained = fields[3]
+            _unpack_state(state, self._state)
         node.deployment.state = self._state
+        yield from apply_all_departures(node, now)
         yield from send_deployment_to_all(node, now)
         yield from answer_reads(node)
 
@@ -119,24 +134,70 @@
         return iter(())
 
 
-def _apply_entry(entry: object, state: DeploymentState) -> Iterator[Command]:
-    if isinstance(entry, DocumentEntry):
-        if entry.version > state.version:
-            state.version = entry.version
-            state.content = entry.content
-            yield LogEvent(
-                EVENT_DOCUMENT_ACCEPTED,
-                version=entry.version,
-                index=state.index,
-            )
-    elif isinstance(entry, DrainEntry):
-        state.drained[entry.data_centre] = entry.is_out
+def _unpack_state(packed: bytes, state: DeploymentState) -> None:
+    fields = msgpack.unpackb(packed)
+    state.index = fields[0]
+    state.version = fields[1]
+    state.content = fields[2]
+    state.drained = fields[3]
+    # Snapshots of earlier releases end here.
+    state.update_index = state.index
+    if len(fields) > 4:
+        state.update_index = fields[4]
+        state.departures = unpack_departures(fields[5])
+
+
+@singledispatch
+def _apply_entry(entry: object, node: Node, now: float) -> Iterator[Command]:
+    """Apply an entry to the state of the node."""
+    return iter(())
+
+
+@_apply_entry.register
+def _apply_document(
+    entry: DocumentEntry, node: Node, now: float
+) -> Iterator[Command]:
+    state = node.deployment.state
+    if entry.version > state.version:
+        state.version = entry.version
+        state.content = entry.content
+        state.update_index = state.index
         yield LogEvent(
-            EVENT_DRAIN_ACCEPTED,
-            data_centre=entry.data_centre,
-            is_out=entry.is_out,
+            EVENT_DOCUMENT_ACCEPTED,
+            version=entry.version,
             index=state.index,
         )
 
 
+@_apply_entry.register
+def _apply_drain(
+    entry: DrainEntry, node: Node, now: float
+) -> Iterator[Command]:
+    state = node.deployment.state
+    state.drained[entry.data_centre] = entry.is_out
+    state.update_index = state.index
+    yield LogEvent(
+        EVENT_DRAIN_ACCEPTED,
+        data_centre=entry.data_centre,
+        is_out=entry.is_out,
+        index=state.index,
+    )
+
+
+@_apply_entry.register
+def _apply_departure(
+    entry: DepartureEntry, node: Node, now: float
+) -> Iterator[Command]:
+    state = node.deployment.state
+    if not state.departures.add(entry.searcher):
+        return
+    yield LogEvent(
+        EVENT_DEPARTURE_ACCEPTED,
+        searcher=entry.searcher.searcher_id,
+        state=STATE_NAMES[entry.searcher.state],
+        index=state.index,
+    )
+    yield from apply_departure(entry.searcher, node, now)
+
+
 register_machine(GROUP_DEPLOYMENT, DeploymentMachine)
--- a/snipejunction/components/deployment/messages.py
+++ b/snipejunction/components/deployment/messages.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from typing import TypeAlias
+
 from snipejunction.commands import Command
 from snipejunction.components.consensus.messages import LeaderRequest
+from snipejunction.components.registration.messages import DepartureEntry
 from snipejunction.helpers.records import Record
 from snipejunction.helpers.wire import wire
 from snipejunction.messages import Message, PeerMessage
@@ -33,6 +36,9 @@
         self.is_out = is_out
 
 
+OrderEntry: TypeAlias = DocumentEntry | DrainEntry | DepartureEntry
+
+
 class CallPeerMessage(PeerMessage):
     """A message about a call that is pending at the host that forwarded it."""
 
@@ -233,14 +239,14 @@
 
 
 class OrderRequest(CallMessage):
-    """An operator's order; ``OrderResult`` answers it.
+    """An entry to commit; ``OrderResult`` answers it.
 
     A document is uncompressed here and compressed before it is proposed.
     """
 
     __slots__ = ('entry',)
 
-    def __init__(self, call_id: int, entry: DocumentEntry | DrainEntry) -> None:
+    def __init__(self, call_id: int, entry: OrderEntry) -> None:
         """Create an order."""
         self.call_id = call_id
         self.entry = entry
--- a/snipejunction/components/deployment/systems/host_updates.py
+++ b/snipejunction/components/deployment/systems/host_updates.py
@@ -108,11 +108,11 @@
     state = node.deployment.state
     if not state.version or not entry.heartbeat.wants_news:
         return
-    if entry.sent_index >= state.index:
+    if entry.sent_index >= state.update_index:
         return
-    entry.sent_index = state.index
+    entry.sent_index = state.update_index
     update = DeploymentUpdate(
-        state.index, state.version, state.content, state.drained
+        state.update_index, state.version, state.content, state.drained
     )
     yield SendPeer(name, update)
 
@@ -149,7 +149,7 @@
         updates = node.deployment.hosts_updates
         updates.replace(_make_hosts_update(node, now))
         yield from _send_hosts(name, entry, updates)
-    if message.index < node.deployment.state.index:
+    if message.index < node.deployment.state.update_index:
         # Earlier updates may have been lost with a previous stream.
         entry.sent_index = message.index
         yield from _send_deployment(name, entry, node)
--- a/snipejunction/components/deployment/systems/orders.py
+++ b/snipejunction/components/deployment/systems/orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from functools import singledispatch
 
 from snipejunction.commands import Command, Deliver, LogEvent, SendPeer
 from snipejunction.components.consensus.messages import FlushLog
@@ -15,12 +16,13 @@
     EVENT_ORDER_FORWARDED,
     EVENT_ORDER_REFUSED,
     MAX_PENDING_CALLS,
+    MAX_PENDING_DEPARTURES,
 )
 from snipejunction.components.deployment.messages import (
     CallAbandoned,
     DocumentEntry,
-    DrainEntry,
     OrderCommitted,
+    OrderEntry,
     OrderForwarded,
     OrderRequest,
     OrderResult,
@@ -30,9 +32,11 @@
 )
 from snipejunction.components.deployment.packing import pack_document
 from snipejunction.components.deployment.tables import PendingOrder
+from snipejunction.components.registration.const import READY
+from snipejunction.components.registration.messages import DepartureEntry
 from snipejunction.const import GROUP_DEPLOYMENT
 from snipejunction.handling import handle
-from snipejunction.helpers.wire import encode
+from snipejunction.helpers.wire import decode, encode
 from snipejunction.node import Node
 
 
@@ -45,9 +49,8 @@
     entry = _compress(message.entry)
     replica = _deployment_replica(node)
     if _is_already_applied(entry, node):
-        # The committed document has this version or a higher one.
         yield OrderResult(message.call_id, True)
-    elif _propose(replica, encode(entry), message.call_id, '', node):
+    elif _propose(replica, entry, message.call_id, '', node):
         yield Deliver(FlushLog(GROUP_DEPLOYMENT))
     elif _has_other_leader(replica, node):
         forwarded = OrderForwarded(message.call_id, encode(entry))
@@ -66,13 +69,8 @@
     replica = node.consensus.replicas.get(GROUP_DEPLOYMENT)
     if replica is None:
         return
-    if _propose(
-        replica,
-        message.payload,
-        message.call_id,
-        message.sender,
-        node,
-    ):
+    entry = decode(message.payload)
+    if _propose(replica, entry, message.call_id, message.sender, node):
         yield Deliver(FlushLog(GROUP_DEPLOYMENT))
 
 
@@ -150,32 +148,46 @@
     yield SendPeer(leader, message)
 
 
-def _compress(entry: DocumentEntry | DrainEntry) -> DocumentEntry | DrainEntry:
+def _compress(entry: OrderEntry) -> OrderEntry:
     if not isinstance(entry, DocumentEntry):
         return entry
     return DocumentEntry(entry.version, pack_document(entry.content))
 
 
-def _is_already_applied(entry: DocumentEntry | DrainEntry, node: Node) -> bool:
-    if not isinstance(entry, DocumentEntry):
-        return False
+@singledispatch
+def _is_already_applied(entry: object, node: Node) -> bool:
+    return False
+
+
+@_is_already_applied.register
+def _is_document_applied(entry: DocumentEntry, node: Node) -> bool:
+    # The committed document has this version or a higher one.
     return entry.version <= node.deployment.state.version
 
 
+@_is_already_applied.register
+def _is_departure_applied(entry: DepartureEntry, node: Node) -> bool:
+    departures = node.deployment.state.departures
+    return departures.state_of(entry.searcher) != READY
+
+
 def _deployment_replica(node: Node) -> Replica:
     return node.consensus.replicas[GROUP_DEPLOYMENT]
 
 
 def _propose(
     replica: Replica,
-    payload: bytes,
+    entry: object,
     call_id: int,
     origin: str,
     node: Node,
 ) -> bool:
-    if len(node.deployment.orders) >= MAX_PENDING_CALLS:
+    # Searchers that leave together must not keep operators out.
+    is_departure = isinstance(entry, DepartureEntry)
+    limit = MAX_PENDING_DEPARTURES if is_departure else MAX_PENDING_CALLS
+    if len(node.deployment.orders) >= limit:
         return False
-    proposal = propose(replica, payload)
+    proposal = propose(replica, encode(entry))
     if proposal is None:
         return False
     order = PendingOrder(call_id, origin, proposal.term)
--- a/snipejunction/components/deployment/tables.py
+++ b/snipejunction/components/deployment/tables.py
@@ -7,16 +7,26 @@
     EntryRecord,
     HostsUpdate,
 )
+from snipejunction.components.registration.departures import Departures
 from snipejunction.timers import NEVER
 
 
 class DeploymentState:
     """The replicated state, identical on all replicas at the same index.
 
-    Version 0 means that there is no document yet.
+    Version 0 means that there is no document yet. ``index`` is that of the
+    last entry, ``update_index`` that of the last one that changed what entry
+    hosts get: the document and the drained data centres.
     """
 
-    __slots__ = ('content', 'drained', 'index', 'version')
+    __slots__ = (
+        'content',
+        'departures',
+        'drained',
+        'index',
+        'update_index',
+        'version',
+    )
 
     def __init__(self) -> None:
         """Create the initial state."""
@@ -24,6 +34,8 @@
         self.version = 0
         self.content = b''
         self.drained: dict[str, bool] = {}
+        self.departures = Departures()
+        self.update_index = 0
 
 
 class PendingOrder:
--- a/snipejunction/components/registration/messages.py
+++ b/snipejunction/components/registration/messages.py
@@ -53,6 +53,20 @@
         self.sequence = sequence
         self.state = state
 
+    def with_state(self, state: int) -> SearcherRecord:
+        """Return a copy with another state."""
+        return SearcherRecord(
+            self.searcher_id,
+            self.service,
+            self.address,
+            self.data_centre,
+            self.slots,
+            self.cold_left,
+            self.born_ms,
+            self.sequence,
+            state,
+        )
+
 
 @wire(151, independent_entries='searchers')
 class SearcherUpdate(PeerMessage):
@@ -97,6 +111,17 @@
         self.limits = limits
 
 
+@wire(160)
+class DepartureEntry(Record):
+    """Log entry of a searcher that is leaving or gone."""
+
+    __slots__ = ('searcher',)
+
+    def __init__(self, searcher: SearcherRecord) -> None:
+        """Create an entry; an empty service stands for an unknown start."""
+        self.searcher = searcher
+
+
 class SearcherAnnounced(Message):
     """A searcher announced itself to this control host."""
 
@@ -108,10 +133,37 @@
 
 
 class SearcherLeft(Message):
-    """A searcher reported its end; only its id is known."""
+    """A searcher reported its end.
+
+    ``born_ms`` is the Unix time of its start in milliseconds, None if it did
+    not state it; ``received_ms`` is that of the report, 0 if unknown.
+    """
 
-    __slots__ = ('searcher_id',)
+    __slots__ = ('born_ms', 'received_ms', 'searcher_id')
 
-    def __init__(self, searcher_id: str) -> None:
+    def __init__(
+        self,
+        searcher_id: str,
+        born_ms: int | None = None,
+        received_ms: int = 0,
+    ) -> None:
         """Create a notice."""
         self.searcher_id = searcher_id
+        self.born_ms = born_ms
+        self.received_ms = received_ms
+
+
+class DepartureRequest(Message):
+    """A searcher announced or reported that it leaves.
+
+    ``OrderResult`` answers it once that is committed.
+    """
+
+    __slots__ = ('call_id', 'notice')
+
+    def __init__(
+        self, call_id: int, notice: SearcherAnnounced | SearcherLeft
+    ) -> None:
+        """Create a request."""
+        self.call_id = call_id
+        self.notice = notice
--- a/snipejunction/components/registration/searcher_status.py
+++ b/snipejunction/components/registration/searcher_status.py
@@ -9,6 +9,7 @@
     LEAVING,
     SILENT,
 )
+from snipejunction.components.registration.departures import is_later_start
 from snipejunction.components.registration.messages import SearcherRecord
 
 # Smallest difference of the end of the cold time that counts as a change, in
@@ -47,16 +48,15 @@
     def is_superseded_by(self, record: SearcherRecord) -> bool:
         """Return whether a record belongs to a later start of this id."""
         if not self.record.service:
-            # Only the end of some start is known. A first announcement must
-            # come from a later one.
-            return bool(record.service) and record.sequence <= 1
+            # Only the end of some start is known.
+            return bool(record.service) and is_later_start(record, self.record)
         return bool(record.service) and record.born_ms > self.record.born_ms
 
     def apply_record(
         self, record: SearcherRecord, sender: str, now: float
     ) -> bool:
         """Apply a record of this start; return whether anything changed."""
-        if record.service and record.born_ms != self.record.born_ms:
+        if not self._is_of_this_start(record):
             return False
         was_silent = self.is_silent
         if self.record.state == GONE:
@@ -92,6 +92,12 @@
             state,
         )
 
+    def _is_of_this_start(self, record: SearcherRecord) -> bool:
+        if record.service:
+            return record.born_ms == self.record.born_ms
+        # The end of an unknown start, not later than ``born_ms`` if given.
+        return not record.born_ms or self.record.born_ms <= record.born_ms
+
     def _replace_record(self, record: SearcherRecord, now: float) -> bool:
         old = self.record
         # The first record may tell that the searcher is silent, but not the
--- a/snipejunction/components/registration/systems/__init__.py
+++ b/snipejunction/components/registration/systems/__init__.py
@@ -1,5 +1,9 @@
 """Systems of the registration component."""
 
-from snipejunction.components.registration.systems import announcing, limits
+from snipejunction.components.registration.systems import (
+    announcing,
+    departing,
+    limits,
+)
 
-__all__ = ('announcing', 'limits')
+__all__ = ('announcing', 'departing', 'limits')
--- a/snipejunction/components/registration/systems/announcing.py
+++ b/snipejunction/components/registration/systems/announcing.py
@@ -15,6 +15,7 @@
 
 from snipejunction.commands import Command, LogEvent, SendPeer
 from snipejunction.components.registration.const import (
+    EVENT_ANNOUNCEMENT_DEPARTED,
     EVENT_ANNOUNCEMENT_STALE,
     EVENT_SEARCHER_NEW,
     EVENT_SEARCHER_SILENT,
@@ -25,13 +26,13 @@
     MAX_ANNOUNCEMENT_DELAY_SECONDS,
     MAX_MISSED_ANNOUNCEMENTS,
     MAX_SEARCHERS,
+    MAX_SENT_DEPARTURES,
     MAX_UPDATE_RECORDS,
     SILENT,
     STATE_NAMES,
 )
 from snipejunction.components.registration.messages import (
     SearcherAnnounced,
-    SearcherLeft,
     SearcherRecord,
     SearcherUpdate,
 )
@@ -52,11 +53,22 @@
 def send_searchers_to_entry(
     name: str, node: Node, now: float
 ) -> Iterator[Command]:
-    """Send all searchers to an entry host that subscribed."""
-    searchers = node.registration.searchers.values()
+    """Send all searchers to an entry host that subscribed.
+
+    Another control host may not know yet that a searcher has left, so recent
+    departures are sent, too.
+    """
+    searchers = node.registration.searchers
     records = [
-        known.to_record(_merged_state(known), now) for known in searchers
+        known.to_record(_merged_state(known), now)
+        for known in searchers.values()
     ]
+    departures = node.deployment.state.departures.newest(MAX_SENT_DEPARTURES)
+    records.extend(
+        departure.with_state(GONE)
+        for departure in departures
+        if departure.searcher_id not in searchers
+    )
     for update in _make_updates(records):
         yield SendPeer(name, update)
 
@@ -95,7 +107,7 @@
             known=known.record.sequence,
         )
         return
-    yield from _apply_record(record, node.name, node, now)
+    yield from apply_record(record, node.name, node, now)
     known = node.registration.searchers.get(record.searcher_id)
     if known is not None:
         known.announced_at = now
@@ -111,20 +123,30 @@
     return record.sequence <= known.record.sequence
 
 
-def _apply_record(
+def apply_record(
     record: SearcherRecord,
     sender: str,
     node: Node,
     now: float,
 ) -> Iterator[Command]:
+    """Apply a record that a control host reports; send what changed."""
+    departures = node.deployment.state.departures
     searchers = node.registration.searchers
     known = searchers.get(record.searcher_id)
+    if known is None and departures.state_of(record) == GONE:
+        yield LogEvent(
+            EVENT_ANNOUNCEMENT_DEPARTED,
+            searcher=record.searcher_id,
+            sequence=record.sequence,
+        )
+        return
     was_silent_here = None if known is None else _is_silent_here(known, node)
     is_changed = True
     if known is None or known.is_superseded_by(record):
         if known is None and len(searchers) >= MAX_SEARCHERS:
             return
         known = KnownSearcher(record, sender, now)
+        known.apply_departure(departures)
         searchers[record.searcher_id] = known
         yield LogEvent(
             EVENT_SEARCHER_NEW,
@@ -135,6 +157,7 @@
         )
     else:
         is_changed = known.apply_record(record, sender, now)
+        is_changed = known.apply_departure(departures) or is_changed
         if is_changed:
             yield _state_event(known)
     if is_changed:
@@ -160,22 +183,15 @@
     now: float,
 ) -> Iterator[Command]:
     for record in message.searchers:
-        yield from _apply_record(record, message.sender, node, now)
+        yield from apply_record(record, message.sender, node, now)
 
 
-@handle.register
-def _handle_leave(
-    message: SearcherLeft,
-    node: Node,
-    now: float,
+def report_state(
+    known: KnownSearcher, node: Node, now: float
 ) -> Iterator[Command]:
-    known = node.registration.searchers.get(message.searcher_id)
-    if known is None:
-        # Other control hosts may know the searcher.
-        gone = SearcherRecord(message.searcher_id, '', '', '', 0, 0, 0, 0, GONE)
-    else:
-        gone = known.to_record(GONE, now)
-    yield from _apply_record(gone, node.name, node, now)
+    """Log the state of a searcher and send it to the entry hosts."""
+    yield _state_event(known)
+    yield from _notify_entries(known, node, now)
 
 
 def _merged_state(known: KnownSearcher) -> int:
@@ -325,7 +341,7 @@
     )
     has_ended = is_silent_elsewhere and known.record.state == LEAVING
     state = GONE if has_ended else SILENT
-    yield from _apply_record(known.to_record(state, now), node.name, node, now)
+    yield from apply_record(known.to_record(state, now), node.name, node, now)
     known.updated_at = now
 
 
--- a/snipejunction/components/registration/tables.py
+++ b/snipejunction/components/registration/tables.py
@@ -4,6 +4,8 @@
 
 from typing import Final
 
+from snipejunction.components.registration.const import GONE, READY
+from snipejunction.components.registration.departures import Departures
 from snipejunction.components.registration.messages import (
     LimitRecord,
     SearcherRecord,
@@ -28,6 +30,17 @@
         super().__init__(record, sender, now)
         self.announced_at = -NEVER
 
+    def apply_departure(self, departures: Departures) -> bool:
+        """Apply the state in which the searcher left.
+
+        Return whether that changed its state.
+        """
+        state = departures.state_of(self.record)
+        if state == READY or self.record.state in {state, GONE}:
+            return False
+        self.record = self.record.with_state(state)
+        return True
+
 
 class RegistrationTable:
     """Searchers by id.
--- a/snipejunction/edge/control_host.py
+++ b/snipejunction/edge/control_host.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from contextlib import AsyncExitStack
-from functools import partial, singledispatchmethod
+from functools import singledispatchmethod
 from typing import Final
 
 from snipejunction.commands import Command, LogEvent, SendPeer
@@ -15,9 +15,6 @@
 from snipejunction.components.deployment import systems as deployment_systems
 from snipejunction.components.deployment.messages import (
     CallAbandoned,
-    DocumentEntry,
-    DrainEntry,
-    OrderRequest,
     OrderResult,
     ReadRequest,
     ReadResult,
@@ -147,9 +144,12 @@
         while not is_idle(self._node) and self._loop.time() < end:
             await asyncio.sleep(_STOP_POLL_SECONDS)
 
-    async def async_order(self, entry: DocumentEntry | DrainEntry) -> bool:
-        """Submit an order; return True only if it is known to be committed."""
-        answer = await self._async_call(partial(OrderRequest, entry=entry))
+    async def async_order(self, make_order: Callable[[int], Message]) -> bool:
+        """Submit an order; return True only if it is known to be committed.
+
+        ``make_order`` builds its message from the call id.
+        """
+        answer = await self._async_call(make_order)
         return isinstance(answer, OrderResult) and answer.is_accepted
 
     async def async_read(self) -> bytes | None:
--- a/snipejunction/platform/announcements.py
+++ b/snipejunction/platform/announcements.py
@@ -63,6 +63,19 @@
     )
 
 
+def read_start(content: bytes) -> int | None:
+    """Return the start that a searcher states with its end.
+
+    It is the Unix time in milliseconds, None without one.
+
+    Raises:
+        SettingsError: if it is no whole number.
+    """
+    if not content:
+        return None
+    return parse_json(content).integer('born', 0) or None
+
+
 def _read_name(fields: Fields, field: str) -> str:
     name = fields.string(field)
     if len(name) > _MAX_NAME_CHARS:
--- a/snipejunction/platform/calls.py
+++ b/snipejunction/platform/calls.py
@@ -3,17 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Coroutine
+from functools import partial
 from typing import Any, Final
 from urllib.parse import unquote
 
 from snipejunction.components.deployment.messages import (
     DocumentEntry,
     DrainEntry,
+    OrderRequest,
 )
+from snipejunction.components.registration.const import LEAVING
 from snipejunction.components.registration.messages import (
+    DepartureRequest,
     SearcherAnnounced,
     SearcherLeft,
+    SearcherRecord,
 )
 from snipejunction.edge.control_host import ControlHost
 from snipejunction.edge.gateway.caller_connection import CallerRequest
@@ -23,6 +29,7 @@
 from snipejunction.platform.announcements import (
     read_announcement,
     read_searcher_id,
+    read_start,
 )
 from snipejunction.platform.answers import (
     respond_encoded_json,
@@ -37,6 +44,7 @@
 _UNAVAILABLE: Final = 503
 _GET: Final = b'GET'
 _POST: Final = b'POST'
+_NANOSECONDS_PER_MILLISECOND: Final = 1_000_000
 
 
 class ControlCalls:
@@ -71,9 +79,29 @@
         except SettingsError as error:
             respond_json(request, _BAD_REQUEST, {'error': str(error)})
             return
-        self._host.submit(SearcherAnnounced(searcher))
-        if self._host.is_cut_off:
-            # Makes the searcher send its heartbeat to a connected host.
+        announced = SearcherAnnounced(searcher)
+        if searcher.state == LEAVING:
+            self._start_task(self._async_handle_leaving(request, announced))
+            return
+        self._host.submit(announced)
+        is_accepted = not self._host.is_cut_off
+        self._respond_heartbeat(request, searcher, is_accepted)
+
+    async def _async_handle_leaving(
+        self, request: CallerRequest, announced: SearcherAnnounced
+    ) -> None:
+        make_order = partial(DepartureRequest, notice=announced)
+        is_accepted = await self._host.async_order(make_order)
+        self._respond_heartbeat(request, announced.searcher, is_accepted)
+
+    def _respond_heartbeat(
+        self,
+        request: CallerRequest,
+        searcher: SearcherRecord,
+        is_accepted: bool,
+    ) -> None:
+        if not is_accepted:
+            # Makes the searcher send its heartbeat to another host.
             respond_status(request, _UNAVAILABLE)
             return
         answer = {}
@@ -88,13 +116,22 @@
         self, request: CallerRequest, searcher_id: str
     ) -> None:
         try:
-            left = SearcherLeft(read_searcher_id(unquote(searcher_id)))
+            left = SearcherLeft(
+                read_searcher_id(unquote(searcher_id)),
+                read_start(request.body),
+                time.time_ns() // _NANOSECONDS_PER_MILLISECOND,
+            )
         except SettingsError as error:
             respond_json(request, _BAD_REQUEST, {'error': str(error)})
             return
-        self._host.submit(left)
-        is_connected = not self._host.is_cut_off
-        respond_status(request, _OK if is_connected else _UNAVAILABLE)
+        self._start_task(self._async_handle_left(request, left))
+
+    async def _async_handle_left(
+        self, request: CallerRequest, left: SearcherLeft
+    ) -> None:
+        make_order = partial(DepartureRequest, notice=left)
+        is_accepted = await self._host.async_order(make_order)
+        respond_status(request, _OK if is_accepted else _UNAVAILABLE)
 
     async def _async_handle_document_call(
         self, request: CallerRequest, path: str
@@ -110,7 +147,8 @@
         entry = self._read_entry(request, path)
         if entry is None:
             return
-        is_accepted = await self._host.async_order(entry)
+        make_order = partial(OrderRequest, entry=entry)
+        is_accepted = await self._host.async_order(make_order)
         respond_status(request, _OK if is_accepted else _UNAVAILABLE)
 
     async def _async_respond_document(self, request: CallerRequest) -> None:
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 from testtools import TestCase
-from testtools.matchers import Contains, Equals, Is, LessThan
+from testtools.matchers import Contains, Equals, HasLength, Is, LessThan
 
 from snipejunction.platform import names
 from tests.edge.gateway.scripted import ReceivedRequest, ScriptedSearcher
@@ -37,6 +37,8 @@
 BATCHES = 60
 # Memory that a blocked log may cost a serving process.
 MAX_GROWTH_MEGABYTES = 2
+# Requests that would reach each usable searcher.
+REQUESTS_PER_MACHINE = 30
 PUT = '/Config.Put'
 GET = '/Config.Get'
 
@@ -74,14 +76,31 @@
     return json.dumps(role_table).encode()
 
 
+def make_heartbeat(
+    service: str, address: str, zone: str, sequence: int
+) -> bytes:
+    """Return a heartbeat of a searcher that is ready."""
+    fields = {
+        'service': service,
+        'address': address,
+        'zone': zone,
+        'slots': 4,
+        'state': 'ready',
+        'coldLeftMs': 0,
+        'sequence': sequence,
+        'born': 1,
+    }
+    return json.dumps(fields).encode()
+
+
 def resident_megabytes(pid: int) -> float:
     """Return the resident memory of a process."""
     pages = int(Path(f'/proc/{pid}/statm').read_text().split()[1])
     return pages * os.sysconf('SC_PAGE_SIZE') / 2**20
 
 
-class PlatformProcessesTest(TestCase):
-    """Tests with three machines of both roles and two searchers."""
+class PlatformCase(TestCase):
+    """Three machines of both roles and two searchers."""
 
     async def async_start_site(self, stack: AsyncExitStack) -> MachineGroup:
         folder = stack.enter_context(tempfile.TemporaryDirectory())
@@ -105,18 +124,12 @@
             sequence += 1
             for number, name in enumerate(SHARDS):
                 machine = self.site.machines[(sequence + number) % len(ZONES)]
-                content = json.dumps(
-                    {
-                        'service': name,
-                        'address': self.searchers[name].address,
-                        'zone': ZONES[number],
-                        'slots': 4,
-                        'state': 'ready',
-                        'coldLeftMs': 0,
-                        'sequence': sequence,
-                        'born': 1,
-                    },
-                ).encode()
+                content = make_heartbeat(
+                    name,
+                    self.searchers[name].address,
+                    ZONES[number],
+                    sequence,
+                )
                 url = machine.url(
                     OPERATOR_PORT, f'/Instances.Heartbeat/i-{name}'
                 )
@@ -133,6 +146,10 @@
             X_Snipejunction_Request_Deadline='1500',
         )
 
+
+class PlatformProcessesTest(PlatformCase):
+    """Documents, restarts and planned stops."""
+
     @in_loop
     async def test_calm(self) -> None:
         """A document is accepted; all machines serve and are listed."""
@@ -288,6 +305,56 @@
                 self.assertThat(process.returncode, Is(None))
 
 
+class DepartureTest(PlatformCase):
+    """Searchers that leave before all processes are killed."""
+
+    async def async_beat(self, sequence: int) -> None:
+        machine = self.site.machines[0]
+        url = machine.url(OPERATOR_PORT, '/Instances.Heartbeat/i-old')
+        content = make_heartbeat(
+            SHARDS[0], self.old.address, ZONES[0], sequence
+        )
+        await self.site.async_call_until(200, 'POST', url, content)
+
+    async def async_restart_all(self) -> None:
+        for machine in self.site.machines:
+            await machine.async_kill()
+        for machine in self.site.machines:
+            machine.is_first_start = False
+            await machine.async_start(CONTROL)
+            await machine.async_start(ENTRY)
+
+    @in_loop
+    async def test_late_heartbeat_after_a_kill(self) -> None:
+        """A late heartbeat does not bring back a searcher that deregistered.
+
+        Guards against ends that are forgotten with the control processes.
+        """
+        async with AsyncExitStack() as stack:
+            site = await self.async_start_site(stack)
+            self.old = await stack.enter_async_context(
+                ScriptedSearcher(async_serve)
+            )
+            first = site.machines[0]
+            url = first.url(OPERATOR_PORT, PUT)
+            await site.async_call_until(200, 'POST', url, make_document(1))
+            sequence = 0
+            while not self.old.received_requests:
+                sequence += 1
+                await self.async_beat(sequence)
+                await self.async_ask(first)
+            url = first.url(OPERATOR_PORT, '/Instances.Deregister/i-old')
+            await site.async_call_until(200, 'POST', url)
+            await self.async_restart_all()
+            for machine in site.machines:
+                await self.async_ask(machine)
+            received = len(self.old.received_requests)
+            await self.async_beat(sequence + 1)
+            for machine in site.machines * REQUESTS_PER_MACHINE:
+                await self.async_ask(machine)
+            self.assertThat(self.old.received_requests, HasLength(received))
+
+
 class DeployFileTest(TestCase):
     """Tests of the deploy file and its requirements."""
 
