Draw the first call id of a control host at random

Cause: call ids began at 1 with each process, and the answer to a forwarded order names the id only. A late answer to an order of the last process could acknowledge another one that is not committed, now also a departure.

Test: RestartTest in tests/edge/test_calls.py; tables of two starts had the same ids before.

--- a/snipejunction/edge/calls.py
+++ b/snipejunction/edge/calls.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 from collections.abc import Callable
+from random import Random
 from typing import Any, Final
 
 from snipejunction.commands import Command
@@ -15,6 +16,7 @@
 from snipejunction.verdict import may_have_run_refusal, not_run_refusal
 
 _RETRY_SECONDS: Final = 0.5
+_FIRST_CALL_ID_BITS: Final = 48
 _TOO_MANY_CALLS: Final = not_run_refusal(
     CODE_OVERLOAD,
     f'{MAX_OPEN_CALLS} requests are open at this host',
@@ -31,11 +33,20 @@
 
     __slots__ = ('_futures', '_call_ids', '_submit')
 
-    def __init__(self, submit: Callable[[Message], None]) -> None:
-        """Create a table; ``submit`` enqueues a message for the systems."""
+    def __init__(
+        self, submit: Callable[[Message], None], random: Random | None = None
+    ) -> None:
+        """Create a table; ``submit`` enqueues a message for the systems.
+
+        The first call id is drawn from ``random`` if it is given, so that the
+        late answer of another host does not complete a call of a new start.
+        """
+        first_call_id = 1
+        if random is not None:
+            first_call_id = random.getrandbits(_FIRST_CALL_ID_BITS)
         self._submit = submit
         self._futures: dict[int, asyncio.Future[Any]] = {}
-        self._call_ids = itertools.count(1)
+        self._call_ids = itertools.count(first_call_id)
 
     @property
     def open_calls(self) -> int:
--- a/snipejunction/edge/control_host.py
+++ b/snipejunction/edge/control_host.py
@@ -83,7 +83,7 @@
         self._node.deployment.seeds = profile.seeds
         self._node.registration.interval = profile.announce_seconds
         self._runner = CoreRunner(core, self, loop)
-        self._calls = CallTable(self.submit)
+        self._calls = CallTable(self.submit, core.node.random)
         self._storage: Storage | None = None
         self._stack = AsyncExitStack()
         self._failure: StorageError | None = None
--- a/tests/edge/test_calls.py
+++ b/tests/edge/test_calls.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from random import Random
 from unittest import mock
 
 from testtools import ExpectedException, TestCase
-from testtools.matchers import Equals
+from testtools.matchers import Equals, HasLength
 
 from snipejunction.components.root.messages import (
     CallAbandoned,
@@ -70,3 +71,31 @@
         bound = mock.patch('snipejunction.edge.calls.CALL_SECONDS', 0)
         with bound, ExpectedException(RefusedError, 'may have run.*'):
             await self.table.async_call(CallAbandoned)
+
+
+class RestartTest(TestCase):
+    """Calls of two starts of a host."""
+
+    async def async_call_ids(self, seed: int) -> list[int]:
+        """Return the ids of three calls of a start."""
+        submitted: list[Message] = []
+        table = CallTable(submitted.append, Random(seed))
+        calls = [
+            asyncio.create_task(table.async_call(CallAbandoned))
+            for _ in range(3)
+        ]
+        await async_until(lambda: len(submitted) == 3)
+        for call in calls:
+            call.cancel()
+        return [message.call_id for message in submitted]
+
+    @in_loop
+    async def test_late_answer_to_an_earlier_start(self) -> None:
+        """An answer to a call of an earlier start completes no call.
+
+        Guards against orders that are acknowledged though they are not
+        committed.
+        """
+        first = await self.async_call_ids(1)
+        second = await self.async_call_ids(2)
+        self.assertThat({*first, *second}, HasLength(6))
