Soak: searchers that deregister first, late heartbeats, loss of power

Searchers leave by either notice, a heartbeat of before arrives 1 or 9.5 s later, and one fault cuts the power 0.1 or 0.5 s after a searcher begins to leave. A request counts as late unless hosts were disrupted shortly before it arrived; before, any disruption since the notice excused it, so that this soak could not see departures that a restart forgets.

--- a/tests/soak/driver.py
+++ b/tests/soak/driver.py
@@ -24,6 +24,8 @@
 # Long enough for windows of limits that follow all disruptions.
 CALM_SECONDS = 18
 ROLES = ((CONTROL,), (ENTRY,), (CONTROL, ENTRY))
+# Delays of heartbeats in seconds: before and after hosts have recovered.
+LATE_SECONDS = (1, 9.5)
 PROXY_FAULTS = ('delay', 'reset', 'silent', 'one-way')
 
 
@@ -53,6 +55,7 @@
             (3, self._async_limit),
             (3, self._async_crash),
             (2, self._async_leave),
+            (1, self._async_leave_before_power_loss),
             (4, self._async_change),
             (2, self._async_drain),
             (1, self._async_reload),
@@ -199,11 +202,25 @@
         searcher = self._random_searcher()
         if searcher.state != 'ready':
             return
-        self.log_fault(f'leave {searcher.searcher_id} {searcher.service}')
-        await searcher.async_leave()
+        is_reported = self._random.choice((True, False))
+        late_seconds = self._random.choice(LATE_SECONDS)
+        self.log_fault(
+            f'leave {searcher.searcher_id} {searcher.service}, '
+            f'reported {is_reported}, late {late_seconds}'
+        )
+        await searcher.async_leave(
+            is_reported=is_reported, late_seconds=late_seconds
+        )
         await asyncio.sleep(2)
         await searcher.async_start()
 
+    async def _async_leave_before_power_loss(self) -> None:
+        """Cut the power soon after a departure may have been acknowledged."""
+        leave = asyncio.ensure_future(self._async_leave())
+        await asyncio.sleep(self._random.choice((0.1, 0.5)))
+        await self._async_power_loss()
+        await leave
+
     async def _async_change(self) -> None:
         self.log_fault('change')
         await self._environment.async_change()
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -192,7 +192,8 @@
             since = self.left.get(arrival.searcher_id)
             if since is None or arrival.at < since + DRAIN_SECONDS:
                 continue
-            if self.is_undisturbed(since, arrival.at):
+            # What was acknowledged holds again once the hosts have recovered.
+            if self.is_undisturbed(arrival.at, arrival.at):
                 self.add_violation(
                     f'{arrival.request_id} at {arrival.searcher_id}, '
                     f'{arrival.at - since:.1f} s after it reported draining',
--- a/tests/soak/searchers.py
+++ b/tests/soak/searchers.py
@@ -24,6 +24,10 @@
 
 OPERATORS = 2
 HEARTBEAT_SECONDS = 0.3
+# Sequence of a heartbeat that arrives late, above those of a whole run.
+LATE_SEQUENCE = 99998
+# How long a searcher serves after its departure was acknowledged.
+SERVE_SECONDS = 13
 READ_BYTES = 65536
 # Pauses of a searcher in seconds; one request in 50 is paused.
 PAUSES = (0.2, *(0 for _ in range(49)))
@@ -159,17 +163,28 @@
         self.proxy.close()
         await asyncio.gather(*self._serving, return_exceptions=True)
 
-    async def async_leave(self) -> None:
-        """Report draining, keep serving for 6 s, then deregister and stop."""
-        self.state = 'draining'
+    async def async_leave(
+        self, *, is_reported: bool, late_seconds: float
+    ) -> None:
+        """Leave, keep serving, then stop.
+
+        It reports draining or, unless ``is_reported``, its end at once. A
+        heartbeat of before arrives ``late_seconds`` after the acknowledgement.
+        """
         name = self.searcher_id
-        while not await self._async_send_heartbeat(99999):
-            await asyncio.sleep(POLL_SECONDS)
+        late_heartbeat = self._make_heartbeat(LATE_SEQUENCE)
+        self.state = 'draining'
+        if is_reported:
+            while not await self._async_send_heartbeat(LATE_SEQUENCE + 1):
+                await asyncio.sleep(POLL_SECONDS)
+        else:
+            await self._async_deregister(name)
         self._checker.left[name] = self._environment.now
-        await asyncio.sleep(6)
+        await asyncio.sleep(late_seconds)
+        await self._async_post_heartbeat(name, late_heartbeat)
+        await asyncio.sleep(SERVE_SECONDS - late_seconds)
         if self.searcher_id == name:
-            path = f'/Instances.Deregister/{name}'
-            await self._environment.async_send_command(path, b'')
+            await self._async_deregister(name)
             await self.async_crash()
 
     def _new_rate(self) -> StatedRate:
@@ -188,8 +203,16 @@
                 await self._async_send_heartbeat(sequence)
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
+    async def _async_deregister(self, name: str) -> None:
+        path = f'/Instances.Deregister/{name}'
+        await self._environment.async_send_command(path, b'')
+
     async def _async_send_heartbeat(self, sequence: int) -> bool:
-        content = json.dumps(
+        content = self._make_heartbeat(sequence)
+        return await self._async_post_heartbeat(self.searcher_id, content)
+
+    def _make_heartbeat(self, sequence: int) -> bytes:
+        return json.dumps(
             {
                 'service': self.service,
                 'address': f'127.0.0.1:{self.proxy.port}',
@@ -201,7 +224,9 @@
                 'born': self._generation,
             },
         ).encode()
-        path = f'/Instances.Heartbeat/{self.searcher_id}'
+
+    async def _async_post_heartbeat(self, name: str, content: bytes) -> bool:
+        path = f'/Instances.Heartbeat/{name}'
         machine = self._random.choice(self._environment.site.machines)
         status, _, _ = await self._environment.site.async_call(
             'POST',
