--- a/tests/components/owner/test_announcing.py
+++ b/tests/components/owner/test_announcing.py
@@ -308,6 +308,30 @@
         searcher = run.searcher('s1', run.owner_of('s1'))
         self.assertThat(searcher.is_leaving, Equals(True))
 
+    def test_known_after_a_restart_of_all(self) -> None:
+        """A late ready announcement after a restart of all does not undo it.
+
+        Guards against departures that are held in memory only.
+        """
+        run = OwnerRun(hosts=_HOSTS)
+        announcer = Announcer(run)
+        announcer.announce(
+            'h1', announcement(sequence=2, state=SEARCHER_LEAVING)
+        )
+        run.advance(0.1)
+        self.assertThat(len(announcer.answers), Equals(1))
+        for name in _HOSTS:
+            run.run.host(name).kill()
+        for name in _HOSTS:
+            run.run.host(name).start()
+        run.advance(0.1)
+        run.set_settings({'/teams/toys/services/catalogue': {}})
+        run.set_view(_HOSTS)
+        announcer.announce('h1', announcement(sequence=1))
+        run.advance(0.5)
+        searcher = run.searcher('s1', run.owner_of('s1'))
+        self.assertThat(searcher.is_leaving, Equals(True))
+
 
 def _another_host(owner: str) -> str:
     return next(name for name in _HOSTS if name != owner)
