Encode forwarded orders once; copy records with copy()

Read once more: the leader decoded a forwarded order and encoded it again, and a follower encoded its own twice; the payload is made once now, and decoded only to tell departures from other orders. SearcherRecord.with_state listed all fields a third time.

No behaviour is changed.

--- a/snipejunction/components/deployment/systems/orders.py
+++ b/snipejunction/components/deployment/systems/orders.py
@@ -48,12 +48,14 @@
 ) -> Iterator[Command]:
     entry = _compress(message.entry)
     replica = _deployment_replica(node)
+    order = PendingOrder(message.call_id, '', replica.term)
+    payload = encode(entry)
     if _is_already_applied(entry, node):
         yield OrderResult(message.call_id, True)
-    elif _propose(replica, entry, message.call_id, '', node):
+    elif _propose(replica, payload, order, _pending_limit(entry), node):
         yield Deliver(FlushLog(GROUP_DEPLOYMENT))
     elif _has_other_leader(replica, node):
-        forwarded = OrderForwarded(message.call_id, encode(entry))
+        forwarded = OrderForwarded(message.call_id, payload)
         yield from _forward(forwarded, replica)
     else:
         yield LogEvent(EVENT_ORDER_REFUSED, call_id=message.call_id)
@@ -69,8 +71,9 @@
     replica = node.consensus.replicas.get(GROUP_DEPLOYMENT)
     if replica is None:
         return
-    entry = decode(message.payload)
-    if _propose(replica, entry, message.call_id, message.sender, node):
+    order = PendingOrder(message.call_id, message.sender, replica.term)
+    limit = _pending_limit(decode(message.payload))
+    if _propose(replica, message.payload, order, limit, node):
         yield Deliver(FlushLog(GROUP_DEPLOYMENT))
 
 
@@ -175,22 +178,26 @@
     return node.consensus.replicas[GROUP_DEPLOYMENT]
 
 
+def _pending_limit(entry: object) -> int:
+    # Searchers that leave together must not keep operators out.
+    if isinstance(entry, DepartureEntry):
+        return MAX_PENDING_DEPARTURES
+    return MAX_PENDING_CALLS
+
+
 def _propose(
     replica: Replica,
-    entry: object,
-    call_id: int,
-    origin: str,
+    payload: bytes,
+    order: PendingOrder,
+    limit: int,
     node: Node,
 ) -> bool:
-    # Searchers that leave together must not keep operators out.
-    is_departure = isinstance(entry, DepartureEntry)
-    limit = MAX_PENDING_DEPARTURES if is_departure else MAX_PENDING_CALLS
+    """Propose an entry unless ``limit`` orders wait for the log."""
     if len(node.deployment.orders) >= limit:
         return False
-    proposal = propose(replica, encode(entry))
+    proposal = propose(replica, payload)
     if proposal is None:
         return False
-    order = PendingOrder(call_id, origin, proposal.term)
     node.deployment.orders[proposal.index] = order
     return True
 
--- a/snipejunction/components/registration/messages.py
+++ b/snipejunction/components/registration/messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from copy import copy
+
 from snipejunction.components.registration.const import READY
 from snipejunction.helpers.records import Record
 from snipejunction.helpers.wire import wire
@@ -55,17 +57,9 @@
 
     def with_state(self, state: int) -> SearcherRecord:
         """Return a copy with another state."""
-        return SearcherRecord(
-            self.searcher_id,
-            self.service,
-            self.address,
-            self.data_centre,
-            self.slots,
-            self.cold_left,
-            self.born_ms,
-            self.sequence,
-            state,
-        )
+        changed = copy(self)
+        changed.state = state
+        return changed
 
 
 @wire(151, independent_entries='searchers')
--- a/snipejunction/components/registration/systems/departing.py
+++ b/snipejunction/components/registration/systems/departing.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from copy import copy
 from functools import singledispatch
 
 from snipejunction.commands import Command
@@ -58,7 +59,8 @@
 def _find_announced(
     notice: SearcherAnnounced, node: Node, now: float
 ) -> SearcherRecord:
-    return notice.searcher.with_state(notice.searcher.state)
+    # The systems change the record of the notice.
+    return copy(notice.searcher)
 
 
 @find_departure.register
