--- a/snipejunction/components/gateway/choosing.py
+++ b/snipejunction/components/gateway/choosing.py
@@ -11,6 +11,10 @@
     REGION_ROUND_TRIP_SECONDS,
     REMOTE_LATENCY_FACTOR,
 )
+from snipejunction.components.gateway.context import (
+    RequestContext,
+    make_context,
+)
 from snipejunction.components.gateway.document import Route
 from snipejunction.components.gateway.stated_limits import may_send
 from snipejunction.components.gateway.tables import GatewayTable
@@ -35,26 +39,28 @@
     now: float,
     *,
     is_hedge: bool = False,
+    context: RequestContext | None = None,
 ) -> Upstream | None:
     """Return the searcher that is expected to answer first, if any.
 
     Searchers in this data centre are preferred unless they are much slower,
     because traffic between data centres is expensive. ``excluded_ids`` are
     ids of searchers. A hedge goes to none that states a limit: what it allows
-    is for parts without any attempt in flight.
+    is for parts without any attempt in flight. Without a ``context`` that of
+    the route alone counts.
     """
     typical_seconds = (
         table.latencies_of(route.name).median or route.objective / 4
     )
+    regions = (context or make_context(route, None)).regions
     best: Upstream | None = None
     best_rank = (float('inf'), float('inf'), 0.0)
     limit = table.connection_limit(service)
     for upstream in table.upstreams_by_service.get(service, {}).values():
-        if upstream.searcher_id in excluded_ids:
-            continue
-        if is_hedge and upstream.stated_limit < NEVER:
+        is_limited_hedge = is_hedge and upstream.stated_limit < NEVER
+        if is_limited_hedge or upstream.searcher_id in excluded_ids:
             continue
-        if not _is_usable(upstream, route, limit, table, now):
+        if not _is_usable(upstream, regions, limit, table, now):
             continue
         rank = (
             float(_health_class(upstream, now)),
@@ -69,7 +75,7 @@
 
 def _is_usable(
     upstream: Upstream,
-    route: Route,
+    regions: Collection[str] | None,
     limit: int,
     table: GatewayTable,
     now: float,
@@ -82,7 +88,7 @@
     if upstream.in_flight >= limit:
         return False
     region = table.regions.get(record.data_centre, '')
-    if route.regions and region not in route.regions:
+    if regions is not None and region not in regions:
         return False
     if now < upstream.cold_until and not _may_send_cold(upstream, table, now):
         return False
--- a/snipejunction/components/gateway/document.py
+++ b/snipejunction/components/gateway/document.py
@@ -32,13 +32,15 @@
     caller waits; ``objective`` is the target latency of an answer.
     ``attempts`` bounds the number of searchers of a service that may run one
     request. ``top`` is the number of records in a merged answer, and
-    ``min_share`` the share of the shards that it requires.
+    ``min_share`` the share of the shards that it requires. Requests of a
+    route that ``is_public`` need no key of a customer.
     """
 
     __slots__ = (
         'attempts',
         'host',
         'is_idempotent',
+        'is_public',
         'min_share',
         'name',
         'objective',
@@ -67,6 +69,7 @@
         top: int = 0,
         min_share: float = 0,
         regions: frozenset[str] = _ALL_REGIONS,
+        is_public: bool = False,
     ) -> None:
         """Create a route; empty ``regions`` allow all regions."""
         self.name = name
@@ -82,6 +85,7 @@
         self.top = top
         self.min_share = min_share
         self.regions = regions
+        self.is_public = is_public
 
     @property
     def services(self) -> tuple[str, ...]:
@@ -137,13 +141,52 @@
         self.idle_seconds = idle_seconds
 
 
+class Customer(Record):
+    """A customer that may send requests, known by its keys.
+
+    ``key_digests`` holds the SHA-256 of each key. All hosts together admit
+    ``rate`` requests per second plus ``burst``; 0 sets no limit.
+    ``priority`` goes before that of the route, None keeps the route's.
+    ``regions`` are those that may serve it, all if empty.
+    """
+
+    __slots__ = ('burst', 'key_digests', 'name', 'priority', 'rate', 'regions')
+
+    def __init__(
+        self,
+        name: str,
+        key_digests: frozenset[bytes],
+        *,
+        rate: float = 0,
+        burst: float = 0,
+        priority: int | None = None,
+        regions: frozenset[str] = _ALL_REGIONS,
+    ) -> None:
+        """Create a customer."""
+        self.name = name
+        self.key_digests = key_digests
+        self.rate = rate
+        self.burst = burst
+        self.priority = priority
+        self.regions = regions
+
+
 class Document(Record):
     """One version of the deployment document.
 
     ``shard_services`` holds the services that are shards of any route.
+    ``customers_by_digest`` maps the SHA-256 of each key to its customer;
+    without customers, requests need no key.
     """
 
-    __slots__ = ('limits', 'routes', 'services', 'shard_services', 'version')
+    __slots__ = (
+        'customers_by_digest',
+        'limits',
+        'routes',
+        'services',
+        'shard_services',
+        'version',
+    )
 
     def __init__(
         self,
@@ -151,6 +194,7 @@
         routes: tuple[Route, ...],
         services: dict[str, Service],
         limits: CallerLimits,
+        customers: tuple[Customer, ...] = (),
     ) -> None:
         """Create a document; ``services`` maps names to services."""
         self.version = version
@@ -160,3 +204,8 @@
             service for route in routes for service in route.shards
         )
         self.limits = limits
+        self.customers_by_digest = {
+            digest: customer
+            for customer in customers
+            for digest in customer.key_digests
+        }
--- a/snipejunction/components/gateway/run.py
+++ b/snipejunction/components/gateway/run.py
@@ -25,6 +25,10 @@
     MAX_SENDS_PER_PART,
     MIN_MERGE_WAIT_SECONDS,
 )
+from snipejunction.components.gateway.context import (
+    RequestContext,
+    make_context,
+)
 from snipejunction.components.gateway.document import Route
 from snipejunction.components.gateway.parts import (
     Attempt,
@@ -66,6 +70,7 @@
 
     __slots__ = (
         '_checked_relays',
+        '_context',
         '_covered',
         '_next_due',
         '_partial_answer_due',
@@ -86,10 +91,12 @@
         table: GatewayTable,
         deadline: float,
         now: float,
+        context: RequestContext | None = None,
     ) -> None:
         """Create a run of a request received at ``now``."""
         self.request_id = request_id
         self._route = route
+        self._context = context or make_context(route, None)
         self._table = table
         self._started = now
         self.deadline = deadline - DEADLINE_MARGIN_SECONDS
@@ -229,6 +236,7 @@
             self._table,
             now,
             is_hedge=bool(part.open_attempts),
+            context=self._context,
         )
 
     def _explain_missing(self, part: Part, now: float) -> Iterator[Command]:
--- /dev/null
+++ b/snipejunction/components/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Roll-outs of searcher versions."""
