Customers: keys, names in headers, priority and homes

Cause: the deployment document lists customers with keys from now on. Change: documents are read with customers, whose keys are kept as digests; an entry host refuses requests without a customer's key unless the route is public, replaces the headers about key and customer, and passes the context to the run. The address answer prefers homes of the asked host over all regions. A searcher tells itself whether it states a limit, and the tests of relays have a base class that others use.

--- a/snipejunction/components/gateway/document.py
+++ b/snipejunction/components/gateway/document.py
@@ -170,16 +170,21 @@
         self.priority = priority
         self.regions = regions
 
+    def __repr__(self) -> str:
+        """Return the name, without anything that is made from keys."""
+        return f'Customer({self.name!r})'
+
 
 class Document(Record):
     """One version of the deployment document.
 
     ``shard_services`` holds the services that are shards of any route.
-    ``customers_by_digest`` maps the SHA-256 of each key to its customer;
-    without customers, requests need no key.
+    ``customers`` maps names to customers; without any, requests need no key.
+    ``customers_by_digest`` maps the SHA-256 of each key to its customer.
     """
 
     __slots__ = (
+        'customers',
         'customers_by_digest',
         'limits',
         'routes',
@@ -204,8 +209,13 @@
             service for route in routes for service in route.shards
         )
         self.limits = limits
+        self.customers = {customer.name: customer for customer in customers}
         self.customers_by_digest = {
             digest: customer
             for customer in customers
             for digest in customer.key_digests
         }
+
+    def __repr__(self) -> str:
+        """Return the version, without anything that is made from keys."""
+        return f'Document({self.version})'
--- a/snipejunction/components/gateway/routing.py
+++ b/snipejunction/components/gateway/routing.py
@@ -25,12 +25,7 @@
         ``host`` is that of the request, in any case and with or without a
         port; ``path`` excludes the query.
         """
-        name = host.lower()
-        prefixes = self._by_host.get(name)
-        if prefixes is None:
-            prefixes = self._by_host.get(name.partition(':')[0])
-        if prefixes is None:
-            return None
+        prefixes = self._prefixes_of(host)
         # Each prefix ends with a slash, so only slashes need checking.
         end = path.rfind('/')
         while end >= 0:
@@ -40,6 +35,25 @@
             end = path.rfind('/', 0, end)
         return None
 
+    def common_regions(self, host: str) -> frozenset[str] | None:
+        """Return the regions that all routes of a host allow, None for all.
+
+        ``host`` is as in ``find``.
+        """
+        common: frozenset[str] | None = None
+        for route in self._prefixes_of(host).values():
+            if route.regions:
+                regions = route.regions
+                common = regions if common is None else common & regions
+        return common
+
+    def _prefixes_of(self, host: str) -> dict[str, Route]:
+        name = host.lower()
+        prefixes = self._by_host.get(name)
+        if prefixes is None:
+            prefixes = self._by_host.get(name.partition(':')[0])
+        return prefixes or {}
+
 
 def pick_target(route: Route, point: float) -> str:
     """Return a target of the route; ``point`` is uniform in [0, 1)."""
--- a/snipejunction/components/gateway/upstreams.py
+++ b/snipejunction/components/gateway/upstreams.py
@@ -77,6 +77,11 @@
         self._failure = 0.0
         self._sampled_at = now
 
+    @property
+    def states_limit(self) -> bool:
+        """Return whether the searcher states a limit."""
+        return self.stated_limit < NEVER
+
     def slowness(self, now: float) -> float:
         """Return the latency relative to the route median, 1 if unknown."""
         return 1.0 + (self._slowness - 1.0) * self._decay_factor(now)
--- a/snipejunction/edge/gateway/caller_connection.py
+++ b/snipejunction/edge/gateway/caller_connection.py
@@ -80,6 +80,10 @@
         """Return the value of a header, empty if absent."""
         return find_header(self.headers, name)
 
+    def header_values(self, name: bytes) -> list[bytes]:
+        """Return the values of all headers with a name."""
+        return [field for header, field in self.headers if header == name]
+
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send the answer.
 
--- a/snipejunction/edge/gateway/forwarding.py
+++ b/snipejunction/edge/gateway/forwarding.py
@@ -13,6 +13,7 @@
     EVENT_REQUEST_DONE,
     EVENT_REQUEST_FAILED,
 )
+from snipejunction.components.gateway.context import RequestContext
 from snipejunction.components.gateway.document import Route
 from snipejunction.components.gateway.parts import (
     Attempt,
@@ -86,6 +87,7 @@
         route: Route,
         hooks: ForwardingHooks,
         loop: asyncio.AbstractEventLoop,
+        context: RequestContext,
     ) -> None:
         """Create the forwarding of a received request."""
         self._request = request
@@ -93,7 +95,12 @@
         self._route = route
         self._hooks = hooks
         self._loop = loop
-        self._head = _format_head(request, hooks.header_names)
+        document = hooks.table.document
+        self._head = _format_head(
+            request,
+            hooks.header_names,
+            None if document is None or not document.customers else context,
+        )
         self._pending: dict[Attempt, PendingRequest] = {}
         self._relay_calls: list[RelayCall] = []
         self._timer: asyncio.TimerHandle | None = None
@@ -288,10 +295,22 @@
     return 'stated limits' if part.is_limited else 'nobody to ask'
 
 
-def _format_head(request: CallerRequest, header_names: HeaderNames) -> bytes:
-    """Return the request head without the headers set per attempt."""
-    replaced = (header_names.deadline, header_names.expected_searcher)
+def _format_head(
+    request: CallerRequest,
+    header_names: HeaderNames,
+    context: RequestContext | None,
+) -> bytes:
+    """Return the request head without the headers set per attempt.
+
+    With a ``context`` the headers about the customer are replaced.
+    """
+    replaced = {header_names.deadline, header_names.expected_searcher}
     lines = [b'%s %s HTTP/1.1' % (request.method, request.target)]
+    if context is not None:
+        replaced |= {header_names.key, header_names.customer}
+        if context.customer:
+            name = context.customer.encode()
+            lines.append(b'%s: %s' % (header_names.customer, name))
     lines.extend(
         b'%s: %s' % header
         for header in end_to_end_headers(request.headers, replaced)
--- a/snipejunction/edge/gateway/gateway_host.py
+++ b/snipejunction/edge/gateway/gateway_host.py
@@ -32,6 +32,7 @@
 from snipejunction.edge.gateway.headers import parse_whole_number
 from snipejunction.edge.gateway.host_profile import HostProfile
 from snipejunction.edge.gateway.http_server import HttpServer
+from snipejunction.edge.gateway.identification import identify_request
 from snipejunction.edge.gateway.relay_calls import RelayCalls
 from snipejunction.edge.gateway.relays import Relays
 from snipejunction.edge.gateway.searcher_pool import SearcherPool
@@ -40,7 +41,6 @@
 from snipejunction.edge.peers import async_listen
 from snipejunction.edge.receive_budget import ReceiveBudget
 from snipejunction.errors import SettingsError, StorageError
-from snipejunction.timers import NEVER
 
 # Shares of the grace period of a stop. The host accepts requests for the
 # first share, since callers cache its address for some seconds; open requests
@@ -53,6 +53,7 @@
 _MILLISECONDS: Final = 1000
 _NOT_FOUND: Final = 404
 _BAD_REQUEST: Final = 400
+_UNAUTHORIZED: Final = 401
 _UNAVAILABLE: Final = 503
 _EXPIRY_INTERVAL_SECONDS: Final = 10.0
 
@@ -258,7 +259,7 @@
             ),
             'searchers_limited': (
                 'Searchers that state a limit on their request rate.',
-                sum(upstream.stated_limit < NEVER for upstream in upstreams),
+                sum(upstream.states_limit for upstream in upstreams),
             ),
             'attempts_limited': (
                 'Attempts that were ever sent to a searcher with a limit.',
@@ -303,6 +304,10 @@
         if route is None:
             self._refuse(request, _NOT_FOUND, 'no route')
             return
+        context = identify_request(request, route, document, self.header_names)
+        if context is None:
+            self._refuse(request, _UNAUTHORIZED, 'no key of a customer')
+            return
         if not request_id:
             self._refuse(request, _BAD_REQUEST, 'no request id')
             return
@@ -313,9 +318,10 @@
             self.table,
             now + self._effective_timeout(request, route.timeout),
             now,
+            context,
         )
         forwarded = ForwardedRequest(
-            request, request_run, route, self, self._loop
+            request, request_run, route, self, self._loop, context
         )
         self._open_requests.add(forwarded)
         forwarded.start()
--- a/snipejunction/edge/gateway/header_names.py
+++ b/snipejunction/edge/gateway/header_names.py
@@ -17,11 +17,15 @@
     merged answer.
     ``stated_limit``: requests per second that the searcher accepts from all
     hosts together.
+    ``key``: key of the customer that sends the request.
+    ``customer``: name of that customer, for the searcher.
     """
 
     __slots__ = (
+        'customer',
         'deadline',
         'expected_searcher',
+        'key',
         'missing',
         'not_run',
         'request_id',
@@ -41,6 +45,8 @@
         signatures: bytes,
         missing: bytes,
         stated_limit: bytes,
+        key: bytes,
+        customer: bytes,
     ) -> None:
         """Create a set of header names."""
         self.request_id = request_id
@@ -51,3 +57,5 @@
         self.signatures = signatures
         self.missing = missing
         self.stated_limit = stated_limit
+        self.key = key
+        self.customer = customer
--- a/snipejunction/platform/documents.py
+++ b/snipejunction/platform/documents.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from hashlib import sha256
 from typing import Final
 
 from snipejunction.components.gateway.document import (
     CallerLimits,
+    Customer,
     Document,
     Route,
     Service,
@@ -34,6 +36,9 @@
     for route in fields.tables('routes'):
         _check_unused(route, document.services)
     _check_unique_prefixes(document.routes)
+    _check_unique_customers(
+        [_read_customer(customer) for customer in fields.tables('tenants')]
+    )
     return document
 
 
@@ -61,6 +66,7 @@
         routes,
         services,
         _read_limits(fields.table('limits')),
+        tuple(map(_read_customer, fields.tables('tenants'))),
     )
 
 
@@ -104,9 +110,45 @@
         top=fields.integer('topK', 0),
         min_share=fields.number('minShare', 0),
         regions=frozenset(fields.strings('homeRegions')),
+        is_public=fields.boolean('public', default=False),
+    )
+
+
+def _read_customer(fields: Fields) -> Customer:
+    name = fields.string('name')
+    # The name is sent in a header.
+    if not name.isprintable() or name != name.strip():
+        raise fields.error('name', 'not printable text')
+    digests = (
+        sha256(key.encode()).digest() for key in fields.strings('apiKeys')
+    )
+    has_priority = fields.has('priority')
+    return Customer(
+        name,
+        frozenset(digests),
+        rate=fields.number('ratePerS', 0),
+        burst=fields.number('burst', 0),
+        priority=fields.integer('priority') if has_priority else None,
+        regions=frozenset(fields.strings('homeRegions')),
     )
 
 
+def _check_unique_customers(customers: list[Customer]) -> None:
+    names: set[str] = set()
+    names_by_digest: dict[bytes, str] = {}
+    for customer in customers:
+        path = f'/tenants/{customer.name}'
+        if customer.name in names:
+            raise SettingsError(path, 'another tenant has the same name')
+        names.add(customer.name)
+        for digest in customer.key_digests:
+            holder = names_by_digest.setdefault(digest, customer.name)
+            if holder != customer.name:
+                raise SettingsError(
+                    path, f'a key is also one of tenant {holder}'
+                )
+
+
 def _read_targets(fields: Fields) -> tuple[Target, ...]:
     targets = tuple(
         Target(backend.string('service'), backend.number('weight'))
--- a/snipejunction/platform/entry_role.py
+++ b/snipejunction/platform/entry_role.py
@@ -66,6 +66,7 @@
         host.table,
         query_fields.get('zone', [''])[0],
         query_fields.get('region', [''])[0],
+        query_fields.get('name', [''])[0],
     )
     if addresses:
         ttl_seconds = min(_MAX_ADDRESS_TTL_SECONDS, host.address_ttl_seconds)
--- a/snipejunction/platform/names.py
+++ b/snipejunction/platform/names.py
@@ -17,6 +17,8 @@
     signatures=b'x-snipejunction-part-stamps',
     missing=b'x-snipejunction-missing-parts',
     stated_limit=b'server-limit',
+    key=b'x-snipejunction-key',
+    customer=b'x-snipejunction-tenant',
 )
 
 PATH_READY: Final = '/ready'
--- a/tests/components/gateway/test_addressing.py
+++ b/tests/components/gateway/test_addressing.py
@@ -14,7 +14,11 @@
     remove_control,
     update_hosts,
 )
-from tests.components.gateway.stage import make_table
+from tests.components.gateway.stage import (
+    install_document,
+    make_route,
+    make_table,
+)
 
 
 class AddressingTest(TestCase):
@@ -52,6 +56,17 @@
             Equals(['a:80', 'b:80', 'c:80']),
         )
 
+    def test_homes(self) -> None:
+        """Callers of other regions get hosts in the homes of the routes."""
+        home = make_route(regions=frozenset(('two', 'three')))
+        install_document(self.table, home)
+        found = find_addresses(self.table, 'new', 'new', 'A.example:80')
+        self.assertThat(found, Equals(['b:80']))
+        near = find_addresses(self.table, 'near', 'one', 'a.example')
+        self.assertThat(near, Equals(['a:80', 'c:80']))
+        other = find_addresses(self.table, 'new', 'new', 'b.example')
+        self.assertThat(other, Equals(['a:80', 'b:80', 'c:80']))
+
     def test_lost_control_host(self) -> None:
         """Hosts that only a lost control host listed are dropped."""
         remove_control('c1', self.table, 0)
--- a/tests/edge/gateway/scripted.py
+++ b/tests/edge/gateway/scripted.py
@@ -19,6 +19,8 @@
     signatures=b'x-signatures',
     missing=b'x-missing',
     stated_limit=b'x-limit',
+    key=b'x-key',
+    customer=b'x-customer',
 )
 TEST_SECONDS = 20
 Script: TypeAlias = Callable[['ReceivedRequest'], Coroutine[Any, Any, None]]
--- a/tests/edge/gateway/test_relays.py
+++ b/tests/edge/gateway/test_relays.py
@@ -64,8 +64,8 @@
         return int(server.getsockname()[1])
 
 
-class RelaysTest(TestCase):
-    """Callers use the first host; searchers are near the second one."""
+class RelaysCase(TestCase):
+    """Base class: callers use one host, searchers are near the other one."""
 
     async def async_open(self, stack: AsyncExitStack, script) -> None:
         loop = asyncio.get_running_loop()
@@ -125,6 +125,10 @@
         services = {name: Service(name, 30, 3, 0) for name in SHARDS}
         return Document(1, (route,), services, LIMITS)
 
+
+class RelaysTest(RelaysCase):
+    """Parts that another host requests for the host of the caller."""
+
     @in_loop
     async def test_merged_by_the_relay(self) -> None:
         """The relay queries the searchers; the caller gets a merged answer."""
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -4,12 +4,13 @@
 
 import copy
 import json
+from hashlib import sha256
 from types import MappingProxyType
 
 from hypothesis import example, given
 from hypothesis import strategies as st
 from testtools import TestCase
-from testtools.matchers import Contains, Equals
+from testtools.matchers import Contains, Equals, Not
 
 from snipejunction.components.registration.const import LEAVING
 from snipejunction.components.registration.messages import SearcherUpdate
@@ -77,6 +78,25 @@
 )
 
 
+KEYS = ('key-one', 'key-two', 'key-three')
+CUSTOMERS = (
+    {
+        'name': 'large',
+        'apiKeys': list(KEYS[:2]),
+        'priority': 0,
+        'ratePerS': 2.5,
+        'burst': 5,
+        'homeRegions': ['lagos'],
+    },
+    {'name': 'small', 'apiKeys': [KEYS[2]]},
+)
+
+
+def digest_of(key: str) -> bytes:
+    """Return the digest under which a key is kept."""
+    return sha256(key.encode()).digest()
+
+
 def encode_json(table: object) -> bytes:
     return json.dumps(table).encode()
 
@@ -223,6 +243,66 @@
             error = self.assert_refused(*path, to=bad_field)
             self.assertThat(str(error), Contains(str(path[-1])))
 
+    def test_customers(self) -> None:
+        """Customers are read; their keys are kept as digests only."""
+        table = copy.deepcopy(dict(DOCUMENT))
+        table['routes'][0]['public'] = True
+        table['tenants'] = copy.deepcopy(list(CUSTOMERS))
+        document = read_document(encode_json(table))
+        first, second = document.customers.values()
+        self.assertThat(
+            [document.customers_by_digest.get(digest_of(key)) for key in KEYS],
+            Equals([first, first, second]),
+        )
+        self.assertThat(
+            (first.priority, first.rate, first.burst, first.regions),
+            Equals((0, 2.5, 5, frozenset(('lagos',)))),
+        )
+        self.assertThat((second.priority, second.rate), Equals((None, 0)))
+        is_public = [route.is_public for route in document.routes]
+        self.assertThat(is_public, Equals([True, False]))
+        for key in KEYS:
+            self.assertThat(repr(document), Not(Contains(key)))
+            self.assertThat(repr(first), Not(Contains(key)))
+        plain = read_document(encode_json(dict(DOCUMENT)))
+        self.assertThat(plain.customers, Equals({}))
+
+    def test_shared_key(self) -> None:
+        """No two customers share a key; an accepted document may."""
+        customers = copy.deepcopy(list(CUSTOMERS))
+        customers[1]['apiKeys'].append(KEYS[0])
+        error = self.assert_refused('tenants', to=customers)
+        self.assertThat(str(error), Contains('large'))
+        self.assertThat(str(error), Contains('small'))
+        self.assertThat(str(error), Not(Contains(KEYS[0])))
+        content = encode_json({**DOCUMENT, 'tenants': customers})
+        accepted = read_accepted_document(content)
+        self.assertThat(len(accepted.customers_by_digest), Equals(3))
+
+    def test_invalid_customers(self) -> None:
+        """Each invalid field of a customer raises an error that names it."""
+        for field, bad_field in (
+            ('name', ''),
+            ('name', 'small'),
+            ('name', 'a\r\nX-Other: b'),
+            ('apiKeys', 'key'),
+            ('apiKeys', [5]),
+            ('apiKeys', ['']),
+            ('priority', -1),
+            ('priority', 1.5),
+            ('ratePerS', -1),
+            ('ratePerS', '5'),
+            ('burst', -1),
+            ('homeRegions', 'lagos'),
+        ):
+            customers = copy.deepcopy(list(CUSTOMERS))
+            customers[0][field] = bad_field
+            error = self.assert_refused('tenants', to=customers)
+            self.assertThat(str(error), Contains('/tenants/'))
+            self.assertThat(str(error), Contains(field))
+        self.assert_refused('tenants', to={'name': 'a'})
+        self.assert_refused('routes', 0, 'public', to='yes')
+
     @given(st.binary(max_size=200))
     def test_any_bytes(self, content: bytes) -> None:
         """Random bytes raise a settings error."""
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -12,7 +12,7 @@
 _NAMES = re.compile(
     r'x-snipejunction-|Instances\.|Config\.(Put|Get)|Evacuations\.|'
     'pathPrefix|timeoutMs|sloMs|coldLeftMs|beatUrl|peerPortRange|minShare|'
-    'topK|homeRegions|SNIPEJUNCTION_BOOT',
+    'topK|homeRegions|apiKeys|ratePerS|SNIPEJUNCTION_BOOT',
     re.IGNORECASE,
 )
 
