--- a/snipejunction/components/deployment/machine.py
+++ b/snipejunction/components/deployment/machine.py
@@ -37,9 +37,22 @@
     apply_all_departures,
     apply_departure,
 )
+from snipejunction.components.rollouts.messages import (
+    RolloutStartEntry,
+    RolloutStateEntry,
+    VersionPinEntry,
+)
+from snipejunction.components.rollouts.systems.applying import (
+    apply_pins,
+    apply_start,
+    apply_state,
+    note_records,
+)
+from snipejunction.components.rollouts.tables import unpack_rollouts
 from snipejunction.const import GROUP_DEPLOYMENT
 from snipejunction.helpers.wire import decode
 from snipejunction.node import Node
+from snipejunction.timers import NEVER
 
 
 class DeploymentMachine:
@@ -62,7 +75,9 @@
         """Apply an entry, send it to the entry hosts, then answer calls."""
         self._state.index = index
         node.deployment.state = self._state
-        yield from _apply_entry(decode(payload), node, now)
+        entry = decode(payload)
+        conflict = _find_conflict(entry, self._state)
+        yield from _apply_entry(entry, node, now)
         yield from send_deployment_to_all(node, now)
         yield from answer_reads(node)
         order = node.deployment.orders.pop(index, None)
@@ -71,9 +86,10 @@
             # of the order is unknown here.
             return
         if order.origin:
-            yield SendPeer(order.origin, OrderCommitted(order.call_id))
+            committed = OrderCommitted(order.call_id, conflict)
+            yield SendPeer(order.origin, committed)
         else:
-            yield OrderResult(order.call_id, True)
+            yield OrderResult(order.call_id, not conflict, conflict)
 
     def snapshot(self) -> bytes:
         """Return the whole state."""
@@ -85,6 +101,7 @@
             state.drained,
             state.update_index,
             state.departures.pack(),
+            state.rollouts.pack(),
         ]
         return bytes(msgpack.packb(fields))
 
@@ -101,6 +118,7 @@
             _unpack_state(state, self._state)
         node.deployment.state = self._state
         yield from apply_all_departures(node, now)
+        note_records(node, now)
         yield from send_deployment_to_all(node, now)
         yield from answer_reads(node)
 
@@ -131,6 +149,8 @@
         """Drop all pending calls; operators send them again."""
         node.deployment.orders.clear()
         node.deployment.reads.clear()
+        node.rollouts.proposals.clear()
+        node.rollouts.led_since = now if is_leader else NEVER
         return iter(())
 
 
@@ -145,6 +165,21 @@
     if len(fields) > 4:
         state.update_index = fields[4]
         state.departures = unpack_departures(fields[5])
+    if len(fields) > 6:
+        state.rollouts = unpack_rollouts(fields[6])
+
+
+@singledispatch
+def _find_conflict(entry: object, state: DeploymentState) -> str:
+    """Return why an entry changes nothing, empty if nothing opposes it."""
+    return ''
+
+
+@_find_conflict.register
+def _find_rollout_conflict(
+    entry: RolloutStartEntry, state: DeploymentState
+) -> str:
+    return state.rollouts.find_conflict(entry)
 
 
 @singledispatch
@@ -200,4 +235,7 @@
     yield from apply_departure(entry.searcher, node, now)
 
 
+_apply_entry.register(RolloutStartEntry, apply_start)
+_apply_entry.register(RolloutStateEntry, apply_state)
+_apply_entry.register(VersionPinEntry, apply_pins)
 register_machine(GROUP_DEPLOYMENT, DeploymentMachine)
--- a/snipejunction/components/deployment/messages.py
+++ b/snipejunction/components/deployment/messages.py
@@ -2,15 +2,22 @@
 
 from __future__ import annotations
 
-from typing import TypeAlias
+from typing import Final, TypeAlias
 
 from snipejunction.commands import Command
 from snipejunction.components.consensus.messages import LeaderRequest
 from snipejunction.components.registration.messages import DepartureEntry
+from snipejunction.components.rollouts.messages import (
+    RolloutRecord,
+    RolloutStartEntry,
+)
 from snipejunction.helpers.records import Record
 from snipejunction.helpers.wire import wire
 from snipejunction.messages import Message, PeerMessage
 
+_NO_ROLLOUTS: Final[list[RolloutRecord]] = []
+_NO_VERSIONS: Final[dict[str, str]] = {}
+
 
 @wire(140)
 class DocumentEntry(Record):
@@ -36,7 +43,9 @@
         self.is_out = is_out
 
 
-OrderEntry: TypeAlias = DocumentEntry | DrainEntry | DepartureEntry
+OrderEntry: TypeAlias = (
+    DocumentEntry | DrainEntry | DepartureEntry | RolloutStartEntry
+)
 
 
 class CallPeerMessage(PeerMessage):
@@ -63,15 +72,19 @@
         self.payload = payload
 
 
-@wire(143)
+@wire(143, optional_fields=1)
 class OrderCommitted(CallPeerMessage):
-    """The leader's answer: the order is committed and applied."""
+    """The leader's answer: the order is committed and applied.
 
-    __slots__ = ()
+    ``conflict`` says why it changed nothing, empty if nothing opposed it.
+    """
 
-    def __init__(self, call_id: int) -> None:
+    __slots__ = ('conflict',)
+
+    def __init__(self, call_id: int, conflict: str = '') -> None:
         """Create an answer to the host that forwarded the order."""
         self.call_id = call_id
+        self.conflict = conflict
 
 
 @wire(144)
@@ -101,15 +114,23 @@
         self.index = index
 
 
-@wire(146)
+@wire(146, optional_fields=2)
 class DeploymentUpdate(PeerMessage):
     """The whole deployment after the log entry at ``index``.
 
     ``out`` maps each data centre that was ever drained to whether it is
-    drained now.
+    drained now. ``rollouts`` holds the last roll-out of each service that had
+    one, ``versions`` the current version by service.
     """
 
-    __slots__ = ('content', 'index', 'out', 'version')
+    __slots__ = (
+        'content',
+        'index',
+        'out',
+        'rollouts',
+        'version',
+        'versions',
+    )
 
     def __init__(
         self,
@@ -117,12 +138,16 @@
         version: int,
         content: bytes,
         out: dict[str, bool],
+        rollouts: list[RolloutRecord] = _NO_ROLLOUTS,
+        versions: dict[str, str] = _NO_VERSIONS,
     ) -> None:
         """Create a message to an entry host."""
         self.index = index
         self.version = version
         self.content = content
         self.out = out
+        self.rollouts = list(rollouts)
+        self.versions = dict(versions)
 
 
 @wire(147)
@@ -263,14 +288,23 @@
 
 
 class OrderResult(Command):
-    """Answer an order with whether it is known to be committed."""
+    """Answer an order with whether it is known to be committed.
+
+    ``conflict`` says why a committed order changed nothing, empty if nothing
+    opposed it.
+    """
 
-    __slots__ = ('call_id', 'is_accepted')
+    __slots__ = ('call_id', 'conflict', 'is_accepted')
 
-    def __init__(self, call_id: int, is_accepted: bool) -> None:
-        """Create a result; the outcome is unknown unless accepted."""
+    def __init__(
+        self, call_id: int, is_accepted: bool, conflict: str = ''
+    ) -> None:
+        """Create a result; without a conflict, the outcome is unknown
+        unless accepted.
+        """
         self.call_id = call_id
         self.is_accepted = is_accepted
+        self.conflict = conflict
 
 
 class ReadRequest(CallMessage):
--- a/snipejunction/components/deployment/systems/host_updates.py
+++ b/snipejunction/components/deployment/systems/host_updates.py
@@ -112,7 +112,12 @@
         return
     entry.sent_index = state.update_index
     update = DeploymentUpdate(
-        state.update_index, state.version, state.content, state.drained
+        state.update_index,
+        state.version,
+        state.content,
+        state.drained,
+        list(state.rollouts.records.values()),
+        state.rollouts.versions,
     )
     yield SendPeer(name, update)
 
--- a/snipejunction/components/deployment/systems/orders.py
+++ b/snipejunction/components/deployment/systems/orders.py
@@ -83,7 +83,9 @@
     node: Node,
     now: float,
 ) -> Iterator[Command]:
-    yield OrderResult(message.call_id, True)
+    yield OrderResult(
+        message.call_id, not message.conflict, message.conflict
+    )
 
 
 @handle.register
--- a/snipejunction/components/deployment/tables.py
+++ b/snipejunction/components/deployment/tables.py
@@ -8,6 +8,7 @@
     HostsUpdate,
 )
 from snipejunction.components.registration.departures import Departures
+from snipejunction.components.rollouts.tables import RolloutState
 from snipejunction.timers import NEVER
 
 
@@ -16,7 +17,7 @@
 
     Version 0 means that there is no document yet. ``index`` is that of the
     last entry, ``update_index`` that of the last one that changed what entry
-    hosts get: the document and the drained data centres.
+    hosts get: the document, the drained data centres and the roll-outs.
     """
 
     __slots__ = (
@@ -24,6 +25,7 @@
         'departures',
         'drained',
         'index',
+        'rollouts',
         'update_index',
         'version',
     )
@@ -35,6 +37,7 @@
         self.content = b''
         self.drained: dict[str, bool] = {}
         self.departures = Departures()
+        self.rollouts = RolloutState()
         self.update_index = 0
 
 
--- a/snipejunction/components/registration/searcher_status.py
+++ b/snipejunction/components/registration/searcher_status.py
@@ -90,6 +90,7 @@
             known.born_ms,
             known.sequence,
             state,
+            known.version,
         )
 
     def _is_of_this_start(self, record: SearcherRecord) -> bool:
@@ -116,8 +117,9 @@
         )
         if record.cold_left > 0:
             self.cold_until = cold_until
-        return has_new_cold_time or (old.state, old.service, old.address) != (
-            record.state,
-            record.service,
-            record.address,
-        )
+        return has_new_cold_time or _identity(old) != _identity(record)
+
+
+def _identity(record: SearcherRecord) -> tuple[int, str, str, str]:
+    """Return the fields whose change other hosts have to learn of."""
+    return record.state, record.service, record.address, record.version
--- a/snipejunction/components/rollouts/const.py
+++ b/snipejunction/components/rollouts/const.py
@@ -5,6 +5,8 @@
 from types import MappingProxyType
 from typing import Final
 
+from snipejunction.commands import EventKind
+
 # States of a roll-out, in the order that they are taken.
 RUNNING: Final = 0
 SWITCHING: Final = 1
@@ -18,5 +20,68 @@
         ROLLED_BACK: 'rolled back',
     }
 )
+# States that may follow each state.
+NEXT_STATES: Final = MappingProxyType(
+    {
+        RUNNING: frozenset((SWITCHING, ROLLED_BACK)),
+        SWITCHING: frozenset((COMPLETED, ROLLED_BACK)),
+        COMPLETED: frozenset(),
+        ROLLED_BACK: frozenset(),
+    }
+)
 # Interval of the reports of entry hosts while a roll-out runs, in seconds.
 REPORT_INTERVAL_SECONDS: Final = 0.5
+# Time within which each host notices that another one is lost, in seconds.
+LOST_HOST_SECONDS: Final = 1.5
+# Time from the deadline of an order within which the same order is a repeated
+# one, in milliseconds.
+REPEAT_MS: Final = 10_000
+# Delay after which the first versions of services are pinned in one entry, in
+# seconds: all searchers may announce themselves at once.
+PIN_DELAY_SECONDS: Final = 1.0
+# Upper bound of the reports that a control host keeps.
+MAX_REPORTS: Final = 4096
+EVENT_ROLLOUT_STARTED: Final = EventKind(
+    960,
+    'info',
+    'roll-out {number} moves {service} to {target} within {duration} s',
+)
+EVENT_ROLLOUT_CONFLICT: Final = EventKind(
+    961,
+    'warning',
+    'refused to move {service} to {target}: {reason}',
+)
+EVENT_ROLLOUT_SWITCHING: Final = EventKind(
+    962,
+    'info',
+    'roll-out {number} of {service} sends all to {target}: {reason}',
+)
+EVENT_ROLLOUT_COMPLETED: Final = EventKind(
+    963,
+    'info',
+    'roll-out {number} of {service} to {target} is completed: {reason}',
+)
+EVENT_ROLLOUT_ROLLED_BACK: Final = EventKind(
+    964,
+    'warning',
+    'roll-out {number} of {service} to {target} is rolled back: {reason}',
+)
+EVENT_VERSIONS_PINNED: Final = EventKind(
+    965,
+    'info',
+    'first versions of services, at index {index}: {versions}',
+)
+EVENT_ROLLOUT_JUDGED: Final = EventKind(
+    966,
+    'info',
+    'verdict on roll-out {number} of {service} to {target}: {verdict}; '
+    '{reason}',
+)
+# Event of each state that a roll-out moves to.
+STATE_EVENTS: Final = MappingProxyType(
+    {
+        SWITCHING: EVENT_ROLLOUT_SWITCHING,
+        COMPLETED: EVENT_ROLLOUT_COMPLETED,
+        ROLLED_BACK: EVENT_ROLLOUT_ROLLED_BACK,
+    }
+)
--- a/snipejunction/components/rollouts/messages.py
+++ b/snipejunction/components/rollouts/messages.py
@@ -150,3 +150,32 @@
         self.index = index
         self.evidence = evidence
         self.busy = busy
+
+
+@wire(167)
+class EntryReport(Record):
+    """The report of the entry host ``name``, passed on by a control host."""
+
+    __slots__ = ('name', 'report')
+
+    def __init__(self, name: str, report: RolloutReport) -> None:
+        """Create a record."""
+        self.name = name
+        self.report = report
+
+
+@wire(168, independent_entries='reports')
+class RolloutReports(PeerMessage):
+    """The reports that a control host has, for the leader.
+
+    ``connected`` lists the entry hosts that are connected to it.
+    """
+
+    __slots__ = ('connected', 'reports')
+
+    def __init__(
+        self, reports: list[EntryReport], connected: list[str]
+    ) -> None:
+        """Create a message."""
+        self.reports = reports
+        self.connected = connected
--- a/snipejunction/node.py
+++ b/snipejunction/node.py
@@ -18,6 +18,7 @@
 from snipejunction.components.journal.tables import JournalTable
 from snipejunction.components.owner.tables import OwnerTable
 from snipejunction.components.registration.tables import RegistrationTable
+from snipejunction.components.rollouts.tables import RolloutTable
 from snipejunction.components.root.tables import RootTable
 from snipejunction.host_settings import HostIdentity, HostSettings
 from snipejunction.timers import TimerTable
@@ -42,6 +43,7 @@
         'owner',
         'random',
         'registration',
+        'rollouts',
         'root',
         'routing',
         'settings',
@@ -71,6 +73,7 @@
         self.journal: Final = JournalTable()
         self.deployment: Final = DeploymentTable()
         self.registration: Final = RegistrationTable()
+        self.rollouts: Final = RolloutTable()
 
     @property
     def name(self) -> str:
--- a/snipejunction/platform/announcements.py
+++ b/snipejunction/platform/announcements.py
@@ -60,6 +60,7 @@
         fields.integer('born', 0),
         fields.integer('sequence'),
         state,
+        _read_version(fields),
     )
 
 
@@ -81,3 +82,11 @@
     if len(name) > _MAX_NAME_CHARS:
         raise fields.error(field, f'over {_MAX_NAME_CHARS} characters')
     return name
+
+
+def _read_version(fields: Fields) -> str:
+    """Return the version of a searcher, empty if it states none."""
+    try:
+        return _read_name(fields, 'version')
+    except SettingsError:
+        return ''
--- a/snipejunction/platform/settings.py
+++ b/snipejunction/platform/settings.py
@@ -9,6 +9,7 @@
 from typing import Any, Final
 
 from snipejunction.components.gateway.budget import RepeatLimits
+from snipejunction.components.rollouts.exposure import ExposureBounds
 from snipejunction.edge.gateway.host_profile import (
     HostProfile,
     ListenAddresses,
@@ -27,6 +28,7 @@
 _DEFAULT_HEARTBEAT_MS: Final = 1000
 _DEFAULT_TTL_SECONDS: Final = 5
 _DEFAULT_RETRY_WINDOW_SECONDS: Final = 10
+_DEFAULT_ROLLBACK_MS: Final = 5000
 
 
 def load_profile(
@@ -82,6 +84,7 @@
         announce_seconds=fields.seconds('heartbeatMs', _DEFAULT_HEARTBEAT_MS),
         address_ttl_seconds=bounds.number('ttl_max_s', _DEFAULT_TTL_SECONDS),
         repeat_limits=limits,
+        exposure=_read_exposure(bounds),
         data_folder=fields.string('dataDir', '') or None,
         addresses=ListenAddresses(
             callers=_read_address(listen, 'front'),
@@ -93,6 +96,16 @@
     )
 
 
+def _read_exposure(bounds: Fields) -> ExposureBounds | None:
+    if not bounds.has('exposureShare'):
+        return None
+    return ExposureBounds(
+        bounds.number('exposureShare'),
+        bounds.number('exposureSlack', 0),
+        bounds.seconds('rollbackMs', _DEFAULT_ROLLBACK_MS),
+    )
+
+
 def _read_seeds(fields: Fields, control_port: int) -> tuple[str, ...]:
     # Seeds hold the port for operators. The peer port of control hosts is the
     # same on every machine.
