--- a/snipejunction/components/deployment/messages.py
+++ b/snipejunction/components/deployment/messages.py
@@ -15,8 +15,9 @@
 from snipejunction.helpers.wire import wire
 from snipejunction.messages import Message, PeerMessage
 
-_NO_ROLLOUTS: Final[list[RolloutRecord]] = []
-_NO_VERSIONS: Final[dict[str, str]] = {}
+# Defaults are compared with fields, and copied into them.
+_NO_ROLLOUTS: Final[list[RolloutRecord]] = []  # noqa: WPS407
+_NO_VERSIONS: Final[dict[str, str]] = {}  # noqa: WPS407
 
 
 @wire(140)
--- a/snipejunction/components/deployment/systems/orders.py
+++ b/snipejunction/components/deployment/systems/orders.py
@@ -83,9 +83,7 @@
     node: Node,
     now: float,
 ) -> Iterator[Command]:
-    yield OrderResult(
-        message.call_id, not message.conflict, message.conflict
-    )
+    yield OrderResult(message.call_id, not message.conflict, message.conflict)
 
 
 @handle.register
--- /dev/null
+++ b/snipejunction/components/rollouts/systems/deciding.py
@@ -0,0 +1,126 @@
+"""Decisions of the leader about roll-outs that are in progress."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from snipejunction.commands import Command, LogEvent
+from snipejunction.components.consensus.replica import Replica
+from snipejunction.components.registration.const import READY
+from snipejunction.components.rollouts.const import (
+    COMPLETED,
+    EVENT_ROLLOUT_JUDGED,
+    LOST_HOST_SECONDS,
+    REPORT_INTERVAL_SECONDS,
+    ROLLED_BACK,
+    RUNNING,
+    SWITCHING,
+)
+from snipejunction.components.rollouts.judging import (
+    BAD,
+    UNDECIDED,
+    VERDICT_NAMES,
+    Verdict,
+    judge,
+    judge_alone,
+)
+from snipejunction.components.rollouts.messages import (
+    RolloutRecord,
+    RolloutStateEntry,
+)
+from snipejunction.components.rollouts.systems.proposing import (
+    find_leading_replica,
+    is_pending,
+    propose_about,
+)
+from snipejunction.components.rollouts.tables import Progress
+from snipejunction.handling import on_tick
+from snipejunction.node import Node
+
+
+@on_tick
+def run_deciding(node: Node, now: float) -> Iterator[Command]:
+    """Judge the roll-outs in progress and propose what follows."""
+    replica = find_leading_replica(node)
+    if replica is None:
+        return
+    for record in node.deployment.state.rollouts.in_progress:
+        if not is_pending(record.service, node):
+            yield from _decide(record, replica, node, now)
+
+
+def _decide(
+    record: RolloutRecord, replica: Replica, node: Node, now: float
+) -> Iterator[Command]:
+    progress = node.rollouts.note_record(
+        record, node.deployment.state.update_index, now
+    )
+    verdict = _judge(record, progress, node, now)
+    state, reason = ROLLED_BACK, verdict.reason
+    if verdict.decision != BAD:
+        if record.state == SWITCHING:
+            state, reason = COMPLETED, _find_end(record, progress, node, now)
+        elif verdict.decision == UNDECIDED:
+            return
+        else:
+            state = SWITCHING
+    if not reason:
+        return
+    if record.state == RUNNING or verdict.decision == BAD:
+        yield LogEvent(
+            EVENT_ROLLOUT_JUDGED,
+            number=record.number,
+            service=record.service,
+            target=record.target,
+            verdict=VERDICT_NAMES[verdict.decision],
+            reason=reason,
+        )
+    entry = RolloutStateEntry(record.service, record.number, state, reason)
+    yield from propose_about(record.service, entry, replica, node)
+
+
+def _judge(
+    record: RolloutRecord, progress: Progress, node: Node, now: float
+) -> Verdict:
+    evidence = node.rollouts.reports.sum_evidence(record.number)
+    if record.state == SWITCHING:
+        return judge_alone(evidence)
+    elapsed_share = (now - progress.started_at) / record.duration
+    return judge(evidence, elapsed_share, _is_target_ready(record, node))
+
+
+def _is_target_ready(record: RolloutRecord, node: Node) -> bool:
+    return any(
+        known.record.service == record.service
+        and known.record.version == record.target
+        and known.record.state == READY
+        and not known.is_silent
+        for known in node.registration.searchers.values()
+    )
+
+
+def _find_end(
+    record: RolloutRecord, progress: Progress, node: Node, now: float
+) -> str:
+    """Return why a roll-out is completed, empty if it is not yet."""
+    table = node.rollouts
+    if now >= progress.switched_at + LOST_HOST_SECONDS:
+        return f'switched {LOST_HOST_SECONDS} s ago'
+    # By then the control hosts have sent the reports of their entry hosts.
+    known_at = max(progress.switched_at, table.led_since)
+    if now < known_at + 2 * REPORT_INTERVAL_SECONDS:
+        return ''
+    names = _find_entry_names(node)
+    index = progress.switched_index
+    if table.reports.find_waiting(names, index, record.number):
+        return ''
+    return f'all {len(names)} entry hosts have switched'
+
+
+def _find_entry_names(node: Node) -> set[str]:
+    """Return the entry hosts that any control host is connected to."""
+    names = {record.name for record in node.deployment.all_entry_records()}
+    names.update(node.deployment.entries)
+    for connected in node.rollouts.connected_by_control.values():
+        names.update(connected)
+    return names
--- a/snipejunction/components/rollouts/tables.py
+++ b/snipejunction/components/rollouts/tables.py
@@ -118,8 +118,9 @@
 
 def unpack_rollouts(packed: list[Any]) -> RolloutState:
     """Return the state that ``RolloutState.pack`` packed."""
+    frames, versions = packed
     state = RolloutState()
-    frames, state.versions = packed
+    state.versions = versions
     for frame in frames:
         record = decode(frame)
         state.records[record.service] = record
@@ -235,7 +236,6 @@
     __slots__ = (
         'connected_by_control',
         'is_in_force',
-        'judged_at',
         'led_since',
         'pin_due',
         'progress',
@@ -258,7 +258,6 @@
         self.proposals: dict[str, int] = {}
         self.pin_due = NEVER
         self.relay_due = -NEVER
-        self.judged_at = -NEVER
         self.led_since = NEVER
 
     def note_record(
--- a/snipejunction/edge/control_host.py
+++ b/snipejunction/edge/control_host.py
@@ -22,13 +22,12 @@
 from snipejunction.components.deployment.systems.addressing import (
     find_control_ip,
 )
-from snipejunction.components.deployment.systems.membership import is_cut_off
 from snipejunction.components.registration import (
     systems as registration_systems,
 )
 from snipejunction.const import GROUP_DEPLOYMENT
 from snipejunction.core import Core
-from snipejunction.edge import const
+from snipejunction.edge import const, rollouts
 from snipejunction.edge.calls import CallTable
 from snipejunction.edge.core_runner import CoreRunner
 from snipejunction.edge.event_log import EventLog
@@ -59,6 +58,7 @@
     consensus_systems,
     deployment_systems,
     registration_systems,
+    rollouts.SYSTEMS,
 )
 
 
@@ -84,6 +84,10 @@
         self._node.registration.interval = profile.announce_seconds
         self._runner = CoreRunner(core, self, loop)
         self._calls = CallTable(self.submit, core.node.random)
+        self.rollouts: Final = rollouts.RolloutCalls(
+            core.node, self._async_call, loop
+        )
+        self.rollouts.start(profile.exposure is not None)
         self._storage: Storage | None = None
         self._stack = AsyncExitStack()
         self._failure: StorageError | None = None
@@ -105,7 +109,8 @@
     @property
     def is_cut_off(self) -> bool:
         """Return whether contact with the leader is lost."""
-        return is_cut_off(self._node, self._loop.time())
+        now = self._loop.time()
+        return deployment_systems.membership.is_cut_off(self._node, now)
 
     async def __aenter__(self) -> ControlHost:
         """Load the data folder and listen for peers."""
--- /dev/null
+++ b/snipejunction/edge/rollouts.py
@@ -0,0 +1,76 @@
+"""Orders and reads of roll-outs at a control host."""
+
+from __future__ import annotations
+
+import time
+from asyncio import AbstractEventLoop
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import Final, TypeAlias
+
+from snipejunction.commands import Command
+from snipejunction.components.deployment.messages import (
+    OrderRequest,
+    OrderResult,
+    ReadRequest,
+    ReadResult,
+)
+from snipejunction.components.deployment.systems.membership import is_cut_off
+from snipejunction.components.rollouts import systems
+from snipejunction.components.rollouts.messages import (
+    RolloutRecord,
+    RolloutStartEntry,
+)
+from snipejunction.messages import Message
+from snipejunction.node import Node
+
+Call: TypeAlias = Callable[
+    [Callable[[int], Message]], Awaitable[Command | None]
+]
+SYSTEMS: Final = systems
+
+
+class RolloutCalls:
+    """Passes calls about roll-outs to the core of a control host."""
+
+    __slots__ = ('_call', '_loop', '_node')
+
+    def __init__(self, node: Node, call: Call, loop: AbstractEventLoop) -> None:
+        """Create calls; ``call`` submits a message and waits for its answer."""
+        self._node = node
+        self._call = call
+        self._loop = loop
+
+    def start(self, is_in_force: bool) -> None:
+        """Note the start of this process and whether there are roll-outs."""
+        table = self._node.rollouts
+        table.is_in_force = is_in_force
+        table.up_since = self._loop.time()
+        table.unix_offset = time.time() - table.up_since
+
+    def has_service(self, service: str) -> bool:
+        """Return whether a service has a version or announced searchers.
+
+        A host that hears no leader may not know all services, so that each
+        one may exist.
+        """
+        versions = self._node.deployment.state.rollouts.versions
+        if service in versions or is_cut_off(self._node, self._loop.time()):
+            return True
+        return any(
+            known.record.service == service
+            for known in self._node.registration.searchers.values()
+        )
+
+    async def async_order(self, entry: RolloutStartEntry) -> OrderResult | None:
+        """Order a roll-out; return None if the outcome is unknown."""
+        answer = await self._call(partial(OrderRequest, entry=entry))
+        return answer if isinstance(answer, OrderResult) else None
+
+    async def async_read(self) -> dict[str, RolloutRecord] | None:
+        """Return the roll-outs by service, None if they are unconfirmed."""
+        answer = await self._call(ReadRequest)
+        if not isinstance(answer, ReadResult) or answer.content is None:
+            return None
+        # This host has applied the log up to the confirmed index.
+        return self._node.deployment.state.rollouts.records
--- a/snipejunction/platform/announcements.py
+++ b/snipejunction/platform/announcements.py
@@ -34,9 +34,13 @@
     return text
 
 
-def read_announcement(searcher_id: str, content: bytes) -> SearcherRecord:
+def read_announcement(
+    searcher_id: str, content: bytes, *, takes_version: bool = True
+) -> SearcherRecord:
     """Parse the heartbeat of a searcher into its record.
 
+    Without ``takes_version`` the record has none, as in earlier releases.
+
     Raises:
         SettingsError: if a field is missing, of another type or unknown.
     """
@@ -60,7 +64,7 @@
         fields.integer('born', 0),
         fields.integer('sequence'),
         state,
-        _read_version(fields),
+        _read_version(fields) if takes_version else '',
     )
 
 
--- a/snipejunction/platform/calls.py
+++ b/snipejunction/platform/calls.py
@@ -37,6 +37,10 @@
     respond_status,
 )
 from snipejunction.platform.documents import read_document
+from snipejunction.platform.rollouts import (
+    async_handle_rollout_call,
+    is_rollout_call,
+)
 
 _OK: Final = 200
 _BAD_REQUEST: Final = 400
@@ -75,7 +79,11 @@
         self, request: CallerRequest, searcher_id: str
     ) -> None:
         try:
-            searcher = read_announcement(unquote(searcher_id), request.body)
+            searcher = read_announcement(
+                unquote(searcher_id),
+                request.body,
+                takes_version=self._profile.exposure is not None,
+            )
         except SettingsError as error:
             respond_json(request, _BAD_REQUEST, {'error': str(error)})
             return
@@ -141,6 +149,9 @@
         await asyncio.sleep(0)
         if request.is_disconnected:
             return
+        if self._profile.exposure is not None and is_rollout_call(path):
+            await async_handle_rollout_call(request, path, self._host)
+            return
         if path == names.PATH_GET_DOCUMENT and request.method == _GET:
             await self._async_respond_document(request)
             return
