--- a/snipejunction/components/rollouts/systems/deciding.py
+++ b/snipejunction/components/rollouts/systems/deciding.py
@@ -60,7 +60,7 @@
     if verdict.decision != BAD:
         if record.state == SWITCHING:
             state, reason = COMPLETED, _find_end(record, progress, node, now)
-        elif verdict.decision == UNDECIDED:
+        elif verdict.decision == UNDECIDED or not _has_reports(node, now):
             return
         else:
             state = SWITCHING
@@ -89,6 +89,11 @@
     return judge(evidence, elapsed_share, _is_target_ready(record, node))
 
 
+def _has_reports(node: Node, now: float) -> bool:
+    """Return whether this leader has had time to get all reports."""
+    return now >= node.rollouts.led_since + LOST_HOST_SECONDS
+
+
 def _is_target_ready(record: RolloutRecord, node: Node) -> bool:
     return any(
         known.record.service == record.service
--- a/snipejunction/components/rollouts/systems/reporting.py
+++ b/snipejunction/components/rollouts/systems/reporting.py
@@ -19,9 +19,10 @@
 
 @on_tick
 def run_reporting(node: Node, now: float) -> Iterator[Command]:
-    """Send the reports of this host's entry hosts to the leader.
+    """Send the reports that this host has to the leader.
 
-    Reports hold sums, so that a new leader has all evidence after one of them.
+    Reports hold sums: a new leader has all evidence after one batch of each
+    control host, and nothing counts twice.
     """
     table = node.rollouts
     if not node.deployment.state.rollouts.in_progress:
@@ -33,11 +34,7 @@
     replica = node.consensus.replicas.get(GROUP_DEPLOYMENT)
     if replica is None or replica.leader_name in {None, node.name}:
         return
-    reports = [
-        EntryReport(known.name, known.report)
-        for known in table.reports
-        if known.name in node.deployment.entries
-    ]
+    reports = [EntryReport(known.name, known.report) for known in table.reports]
     batch = RolloutReports(reports, sorted(node.deployment.entries))
     yield SendPeer(str(replica.leader_name), batch)
 
--- a/snipejunction/components/rollouts/tables.py
+++ b/snipejunction/components/rollouts/tables.py
@@ -159,8 +159,11 @@
         self.received_at = now
 
     def is_newer(self, report: RolloutReport) -> bool:
-        """Return whether a report is not older than this one."""
-        return _age_key(report) >= _age_key(self.report)
+        """Return whether a report holds anything newer than this one."""
+        known = self.report
+        if report.busy != known.busy:
+            return _age_key(report) >= _age_key(known)
+        return _age_key(report) > _age_key(known)
 
 
 class HostReports:
