--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -264,6 +264,17 @@
         self.assertThat(record.cold_left, Equals(1.5))
         ordering_key = (record.born_ms, record.sequence)
         self.assertThat(ordering_key, Equals((1787800178171, 4)))
+        self.assertThat(record.version, Equals('v1'))
+
+    def test_any_version(self) -> None:
+        """A version of any other form counts as none."""
+        for version in (None, 5, '', 'v' * 300, '\ud83c', ['v1']):
+            content = encode_json({**ANNOUNCEMENT, 'version': version})
+            record = read_announcement('i-1', content)
+            self.assertThat(record.version, Equals(''))
+        content = encode_json(dict(ANNOUNCEMENT))
+        record = read_announcement('i-1', content, takes_version=False)
+        self.assertThat(record.version, Equals(''))
 
     def test_invalid_fields(self) -> None:
         """Missing fields and fields of another type are refused."""
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -12,7 +12,8 @@
 _NAMES = re.compile(
     r'x-snipejunction-|Instances\.|Config\.(Put|Get)|Evacuations\.|'
     'pathPrefix|timeoutMs|sloMs|coldLeftMs|beatUrl|peerPortRange|minShare|'
-    'topK|homeRegions|SNIPEJUNCTION_BOOT',
+    'topK|homeRegions|SNIPEJUNCTION_BOOT|'
+    '/Rollouts|targetVersion|exposureS(hare|lack)|rollbackMs',
     re.IGNORECASE,
 )
 
--- a/tests/processes/platform_harness.py
+++ b/tests/processes/platform_harness.py
@@ -69,6 +69,7 @@
         self.folder.mkdir()
         self.processes: dict[str, Process] = {}
         self.is_first_start = True
+        self.bounds = ['graceS = 2', 'retryRatio = 0.2', 'retrySlack = 60']
 
     def url(self, offset: int, path: str) -> str:
         """Return a URL on the machine's port at ``offset``."""
@@ -153,7 +154,8 @@
             f'{name} = "{self.ip}:{self.port + offsets[name]}"'
             for name in listen[role]
         )
-        lines.append('[bounds]\ngraceS = 2\nretryRatio = 0.2\nretrySlack = 60')
+        lines.append('[bounds]')
+        lines.extend(self.bounds)
         return '\n'.join(lines)
 
 
