--- a/snipejunction/components/rollouts/const.py
+++ b/snipejunction/components/rollouts/const.py
@@ -33,6 +33,8 @@
 REPORT_INTERVAL_SECONDS: Final = 0.5
 # Time within which each host notices that another one is lost, in seconds.
 LOST_HOST_SECONDS: Final = 1.5
+# Share of the duration after which no host delays the end of a switch.
+END_SHARE: Final = 0.95
 # Time from the deadline of an order within which the same order is a repeated
 # one, in milliseconds.
 REPEAT_MS: Final = 10_000
--- a/snipejunction/components/rollouts/systems/deciding.py
+++ b/snipejunction/components/rollouts/systems/deciding.py
@@ -9,6 +9,7 @@
 from snipejunction.components.registration.const import READY
 from snipejunction.components.rollouts.const import (
     COMPLETED,
+    END_SHARE,
     EVENT_ROLLOUT_JUDGED,
     LOST_HOST_SECONDS,
     REPORT_INTERVAL_SECONDS,
@@ -91,7 +92,7 @@
 
 def _has_reports(node: Node, now: float) -> bool:
     """Return whether this leader has had time to get all reports."""
-    return now >= node.rollouts.led_since + LOST_HOST_SECONDS
+    return now >= node.rollouts.led_since + 2 * REPORT_INTERVAL_SECONDS
 
 
 def _is_target_ready(record: RolloutRecord, node: Node) -> bool:
@@ -109,8 +110,9 @@
 ) -> str:
     """Return why a roll-out is completed, empty if it is not yet."""
     table = node.rollouts
-    if now >= progress.switched_at + LOST_HOST_SECONDS:
-        return f'switched {LOST_HOST_SECONDS} s ago'
+    if now >= _find_latest_end(record, progress):
+        seconds = round(now - progress.switched_at, 1)
+        return f'switched {seconds} s ago'
     # By then the control hosts have sent the reports of their entry hosts.
     known_at = max(progress.switched_at, table.led_since)
     if now < known_at + 2 * REPORT_INTERVAL_SECONDS:
@@ -122,6 +124,19 @@
     return f'all {len(names)} entry hosts have switched'
 
 
+def _find_latest_end(record: RolloutRecord, progress: Progress) -> float:
+    """Return when a roll-out is completed whatever its hosts report.
+
+    A lost host is noticed by then, but an order is not kept waiting beyond its
+    duration for one.
+    """
+    limit = min(
+        progress.switched_at + LOST_HOST_SECONDS,
+        progress.started_at + END_SHARE * record.duration,
+    )
+    return max(limit, progress.switched_at + REPORT_INTERVAL_SECONDS)
+
+
 def _find_entry_names(node: Node) -> set[str]:
     """Return the entry hosts that any control host is connected to."""
     names = {record.name for record in node.deployment.all_entry_records()}
--- a/tests/components/rollouts/test_orders.py
+++ b/tests/components/rollouts/test_orders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgpack
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, Is
 
@@ -133,8 +134,6 @@
         """A snapshot without roll-outs still loads."""
         cluster = make_cluster(4)
         node = cluster.hosts['h1'].node
-        import msgpack
-
         fields = [9, 1, b'', {}, 9, []]
         packed = bytes(msgpack.packb(fields))
         list(DeploymentMachine().restore(node, packed, 9, cluster.now))
@@ -170,6 +169,8 @@
             outcomes = [cluster.outcome(*call) for call in calls.items()]
             accepted = [outcome.is_accepted for outcome in outcomes]
             self.assertThat(sorted(accepted), Equals([False, True]))
+            winner = ('v2', 'v3')[accepted.index(True)]
+            self.assertThat(cluster.record().target, Equals(winner))
             loser = outcomes[accepted.index(False)]
             self.assertThat(loser.conflict, Contains('is in progress'))
             self.assertThat(len(set(cluster.records())), Equals(1))
