--- a/tests/components/rollouts/test_orders.py
+++ b/tests/components/rollouts/test_orders.py
@@ -72,6 +72,15 @@
         self.assertThat(self.start('v2', 7, 21000), Is(None))
         self.assertThat(self.start('v2', 8, 24000).number, Equals(8))
 
+    def test_conflict(self) -> None:
+        """Another target is refused while a roll-out is in progress."""
+        self.start('v2', 5)
+        self.assertThat(self.start('v3', 6), Is(None))
+        self.move(5, SWITCHING)
+        self.assertThat(self.start('v3', 7), Is(None))
+        self.move(5, COMPLETED)
+        self.assertThat(self.start('v3', 8).number, Equals(8))
+
     def test_current_version(self) -> None:
         """An order of the current version is completed at once."""
         record = self.start('v1', 5)
