--- a/snipejunction/components/rollouts/const.py
+++ b/snipejunction/components/rollouts/const.py
@@ -31,6 +31,8 @@
 )
 # Interval of the reports of entry hosts while a roll-out runs, in seconds.
 REPORT_INTERVAL_SECONDS: Final = 0.5
+# Interval of the verdicts of the leader, in seconds.
+DECISION_INTERVAL_SECONDS: Final = 0.1
 # Time within which each host notices that another one is lost, in seconds.
 LOST_HOST_SECONDS: Final = 1.5
 # Share of the duration after which no host delays the end of a switch.
--- a/snipejunction/components/rollouts/systems/deciding.py
+++ b/snipejunction/components/rollouts/systems/deciding.py
@@ -9,6 +9,7 @@
 from snipejunction.components.registration.const import READY
 from snipejunction.components.rollouts.const import (
     COMPLETED,
+    DECISION_INTERVAL_SECONDS,
     END_SHARE,
     EVENT_ROLLOUT_JUDGED,
     LOST_HOST_SECONDS,
@@ -28,6 +29,7 @@
 from snipejunction.components.rollouts.messages import (
     RolloutRecord,
     RolloutStateEntry,
+    RouteEvidence,
 )
 from snipejunction.components.rollouts.systems.proposing import (
     find_leading_replica,
@@ -42,21 +44,31 @@
 @on_tick
 def run_deciding(node: Node, now: float) -> Iterator[Command]:
     """Judge the roll-outs in progress and propose what follows."""
+    table = node.rollouts
+    records = node.deployment.state.rollouts.in_progress
     replica = find_leading_replica(node)
-    if replica is None:
+    if replica is None or not records or now < table.decision_due:
         return
-    for record in node.deployment.state.rollouts.in_progress:
+    table.decision_due = now + DECISION_INTERVAL_SECONDS
+    evidence = table.reports.sum_evidence()
+    for record in records:
         if not is_pending(record.service, node):
-            yield from _decide(record, replica, node, now)
+            parts = evidence.get(record.number, [])
+            yield from _decide(record, parts, replica, node, now)
 
 
 def _decide(
-    record: RolloutRecord, replica: Replica, node: Node, now: float
+    record: RolloutRecord,
+    evidence: list[RouteEvidence],
+    replica: Replica,
+    node: Node,
+    now: float,
 ) -> Iterator[Command]:
     progress = node.rollouts.note_record(
         record, node.deployment.state.update_index, now
     )
-    verdict = _judge(record, progress, node, now)
+    elapsed_share = (now - progress.started_at) / record.duration
+    verdict = _judge(record, evidence, elapsed_share, node)
     state, reason = ROLLED_BACK, verdict.reason
     if verdict.decision != BAD:
         if record.state == SWITCHING:
@@ -81,12 +93,13 @@
 
 
 def _judge(
-    record: RolloutRecord, progress: Progress, node: Node, now: float
+    record: RolloutRecord,
+    evidence: list[RouteEvidence],
+    elapsed_share: float,
+    node: Node,
 ) -> Verdict:
-    evidence = node.rollouts.reports.sum_evidence(record.number)
     if record.state == SWITCHING:
         return judge_alone(evidence)
-    elapsed_share = (now - progress.started_at) / record.duration
     return judge(evidence, elapsed_share, _is_target_ready(record, node))
 
 
--- a/snipejunction/components/rollouts/tables.py
+++ b/snipejunction/components/rollouts/tables.py
@@ -193,17 +193,20 @@
         """Drop all reports."""
         self._by_start.clear()
 
-    def sum_evidence(self, number: int) -> list[RouteEvidence]:
-        """Return the evidence of all hosts for a roll-out, by route."""
-        sums: dict[str, RouteEvidence] = {}
+    def sum_evidence(self) -> dict[int, list[RouteEvidence]]:
+        """Return the evidence of all hosts by number of roll-out and route."""
+        sums: dict[tuple[int, str], RouteEvidence] = {}
         for known in self:
             for part in known.report.evidence:
-                if part.number == number:
-                    total = sums.setdefault(
-                        part.route, RouteEvidence(number, part.route)
-                    )
-                    _add_evidence(total, part)
-        return [sums[route] for route in sorted(sums)]
+                total = sums.setdefault(
+                    (part.number, part.route),
+                    RouteEvidence(part.number, part.route),
+                )
+                _add_evidence(total, part)
+        by_number: dict[int, list[RouteEvidence]] = {}
+        for key in sorted(sums):
+            by_number.setdefault(key[0], []).append(sums[key])
+        return by_number
 
     def find_waiting(
         self, names: Iterable[str], index: int, number: int
@@ -238,6 +241,7 @@
 
     __slots__ = (
         'connected_by_control',
+        'decision_due',
         'is_in_force',
         'led_since',
         'pin_due',
@@ -261,6 +265,7 @@
         self.proposals: dict[str, int] = {}
         self.pin_due = NEVER
         self.relay_due = -NEVER
+        self.decision_due = -NEVER
         self.led_since = NEVER
 
     def note_record(
@@ -299,6 +304,6 @@
 
 def _add_evidence(total: RouteEvidence, part: RouteEvidence) -> None:
     total.target_total += part.target_total
-    total.target_bad += part.target_bad
+    total.target_bad += min(part.target_bad, part.target_total)
     total.current_total += part.current_total
-    total.current_bad += part.current_bad
+    total.current_bad += min(part.current_bad, part.current_total)
--- a/snipejunction/edge/rollouts.py
+++ b/snipejunction/edge/rollouts.py
@@ -15,7 +15,6 @@
     ReadRequest,
     ReadResult,
 )
-from snipejunction.components.deployment.systems.membership import is_cut_off
 from snipejunction.components.rollouts import systems
 from snipejunction.components.rollouts.messages import (
     RolloutRecord,
@@ -48,19 +47,16 @@
         table.up_since = self._loop.time()
         table.unix_offset = time.time() - table.up_since
 
-    def has_service(self, service: str) -> bool:
+    async def async_has_service(self, service: str) -> bool | None:
         """Return whether a service has a version or announced searchers.
 
-        A host that hears no leader may not know all services, so that each
-        one may exist.
+        Return None if that is unknown, since this host hears no leader.
         """
-        versions = self._node.deployment.state.rollouts.versions
-        if service in versions or is_cut_off(self._node, self._loop.time()):
+        if self._has_service(service):
             return True
-        return any(
-            known.record.service == service
-            for known in self._node.registration.searchers.values()
-        )
+        # This host may not have applied the whole log yet.
+        records = await self.async_read()
+        return None if records is None else self._has_service(service)
 
     async def async_order(self, entry: RolloutStartEntry) -> OrderResult | None:
         """Order a roll-out; return None if the outcome is unknown."""
@@ -74,3 +70,11 @@
             return None
         # This host has applied the log up to the confirmed index.
         return self._node.deployment.state.rollouts.records
+
+    def _has_service(self, service: str) -> bool:
+        if service in self._node.deployment.state.rollouts.versions:
+            return True
+        return any(
+            known.record.service == service
+            for known in self._node.registration.searchers.values()
+        )
--- a/snipejunction/platform/rollouts.py
+++ b/snipejunction/platform/rollouts.py
@@ -89,7 +89,11 @@
     except SettingsError as error:
         respond_json(request, _BAD_REQUEST, {'error': str(error)})
         return
-    if not calls.has_service(entry.service):
+    has_service = await calls.async_has_service(entry.service)
+    if has_service is None:
+        respond_status(request, _UNAVAILABLE)
+        return
+    if not has_service:
         problem = f'unknown service {entry.service!r}'
         respond_json(request, _BAD_REQUEST, {'error': problem})
         return
--- a/tests/components/rollouts/test_deciding.py
+++ b/tests/components/rollouts/test_deciding.py
@@ -182,7 +182,8 @@
         self.reports.add('e1', report, now)
 
     def total(self) -> int:
-        return sum(part.target_total for part in self.reports.sum_evidence(5))
+        parts = self.reports.sum_evidence()[5]
+        return sum(part.target_total for part in parts)
 
     def test_late_and_twice(self) -> None:
         """Only the newest sums of a start count, and count once."""
