--- a/tests/components/rollouts/test_judging.py
+++ b/tests/components/rollouts/test_judging.py
@@ -73,8 +73,8 @@
         # About 30 requests reach the target: too few to show each of these.
         'same, 8 requests there': (on_one_route, 1, BAD, 0.85 * ROLLOUTS),
         'fails 30 %, 30 requests': (constant(0.3), 1, BAD, 0.98 * ROLLOUTS),
-        'fails 10 %, 60 requests': (constant(0.1), 2, BAD, 0),
-        'fails 10 %, 30 requests': (constant(0.1), 1, BAD, 0),
+        'fails 10 %, 60 requests': (constant(0.1), 2, BAD, 0.75 * ROLLOUTS),
+        'fails 10 %, 30 requests': (constant(0.1), 1, BAD, 0.4 * ROLLOUTS),
         'fails 50 % from 4 s, 30 of them': (late, 1, BAD, 0.98 * ROLLOUTS),
     }
 )
