--- a/snipejunction/platform/announcements.py
+++ b/snipejunction/platform/announcements.py
@@ -34,9 +34,13 @@
     return text
 
 
-def read_announcement(searcher_id: str, content: bytes) -> SearcherRecord:
+def read_announcement(
+    searcher_id: str, content: bytes, *, takes_version: bool = True
+) -> SearcherRecord:
     """Parse the heartbeat of a searcher into its record.
 
+    Without ``takes_version`` the record has none, as in earlier releases.
+
     Raises:
         SettingsError: if a field is missing, of another type or unknown.
     """
@@ -60,6 +64,7 @@
         fields.integer('born', 0),
         fields.integer('sequence'),
         state,
+        _read_version(fields) if takes_version else '',
     )
 
 
@@ -81,3 +86,11 @@
     if len(name) > _MAX_NAME_CHARS:
         raise fields.error(field, f'over {_MAX_NAME_CHARS} characters')
     return name
+
+
+def _read_version(fields: Fields) -> str:
+    """Return the version of a searcher, empty if it states none."""
+    try:
+        return _read_name(fields, 'version')
+    except SettingsError:
+        return ''
