--- a/snipejunction/components/deployment/messages.py
+++ b/snipejunction/components/deployment/messages.py
@@ -7,6 +7,7 @@
 from snipejunction.commands import Command
 from snipejunction.components.consensus.messages import LeaderRequest
 from snipejunction.components.registration.messages import DepartureEntry
+from snipejunction.components.rollouts.messages import RolloutRecord
 from snipejunction.helpers.records import Record
 from snipejunction.helpers.wire import wire
 from snipejunction.messages import Message, PeerMessage
@@ -101,15 +102,23 @@
         self.index = index
 
 
-@wire(146)
+@wire(146, optional_fields=2)
 class DeploymentUpdate(PeerMessage):
     """The whole deployment after the log entry at ``index``.
 
     ``out`` maps each data centre that was ever drained to whether it is
-    drained now.
+    drained now. ``rollouts`` lists the roll-outs in progress and those that
+    ended recently; ``versions`` maps services to their current versions.
     """
 
-    __slots__ = ('content', 'index', 'out', 'version')
+    __slots__ = (
+        'content',
+        'index',
+        'out',
+        'rollouts',
+        'version',
+        'versions',
+    )
 
     def __init__(
         self,
@@ -117,12 +126,16 @@
         version: int,
         content: bytes,
         out: dict[str, bool],
+        rollouts: list[RolloutRecord] | None = None,
+        versions: dict[str, str] | None = None,
     ) -> None:
-        """Create a message to an entry host."""
+        """Create a message to an entry host; None stands for nothing."""
         self.index = index
         self.version = version
         self.content = content
         self.out = out
+        self.rollouts = rollouts
+        self.versions = versions
 
 
 @wire(147)
--- a/snipejunction/components/gateway/choosing.py
+++ b/snipejunction/components/gateway/choosing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from typing import Final
 
 from snipejunction.components.gateway.const import (
@@ -19,6 +19,7 @@
 from snipejunction.components.gateway.stated_limits import may_send
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.components.gateway.upstreams import Upstream
+from snipejunction.components.gateway.versions import order_candidates
 from snipejunction.components.registration.const import READY, SILENT
 from snipejunction.helpers.rendezvous import choose
 from snipejunction.timers import NEVER
@@ -39,6 +40,7 @@
     now: float,
     *,
     is_hedge: bool = False,
+    tries_target: bool = False,
     context: RequestContext | None = None,
 ) -> Upstream | None:
     """Return the searcher that is expected to answer first, if any.
@@ -46,20 +48,41 @@
     Searchers in this data centre are preferred unless they are much slower,
     because traffic between data centres is expensive. ``excluded_ids`` are
     ids of searchers. A hedge goes to none that states a limit: what it allows
-    is for parts without any attempt in flight. Without a ``context`` that of
-    the route alone counts.
+    is for parts without any attempt in flight. ``tries_target`` lets the
+    target of a roll-out go first, as far as the exposure bounds allow it.
+    Without a ``context`` that of the route alone counts.
     """
+    regions = (context or make_context(route, None)).regions
+    for upstreams in order_candidates(
+        service, table, tries_target=tries_target
+    ):
+        candidates = [
+            upstream
+            for upstream in upstreams
+            if upstream.searcher_id not in excluded_ids
+            and not (is_hedge and upstream.stated_limit < NEVER)
+        ]
+        best = _choose_among(candidates, service, route, regions, table, now)
+        if best is not None:
+            return best
+    return None
+
+
+def _choose_among(
+    candidates: Iterable[Upstream],
+    service: str,
+    route: Route,
+    regions: Collection[str] | None,
+    table: GatewayTable,
+    now: float,
+) -> Upstream | None:
     typical_seconds = (
         table.latencies_of(route.name).median or route.objective / 4
     )
-    regions = (context or make_context(route, None)).regions
     best: Upstream | None = None
     best_rank = (float('inf'), float('inf'), 0.0)
     limit = table.connection_limit(service)
-    for upstream in table.upstreams_by_service.get(service, {}).values():
-        is_limited_hedge = is_hedge and upstream.stated_limit < NEVER
-        if is_limited_hedge or upstream.searcher_id in excluded_ids:
-            continue
+    for upstream in candidates:
         if not _is_usable(upstream, regions, limit, table, now):
             continue
         rank = (
--- a/snipejunction/components/gateway/parts.py
+++ b/snipejunction/components/gateway/parts.py
@@ -8,6 +8,8 @@
 from snipejunction.components.gateway.const import EVENT_ATTEMPT_FAILED
 from snipejunction.components.gateway.replies import Outcome, Reply
 from snipejunction.components.gateway.upstreams import Upstream
+from snipejunction.components.rollouts.evidence import Sending
+from snipejunction.components.rollouts.trial import Trial
 
 _MS_PER_SECOND: Final = 1000
 
@@ -17,7 +19,8 @@
 
     ``relay`` is the entry host that sends it, empty for this one.
     ``min_hedge_delay`` is the time in seconds within which the relay sends
-    its first response; no hedge is sent before.
+    its first response; no hedge is sent before. ``sending`` and ``trial`` are
+    set if its service has a roll-out.
     """
 
     __slots__ = (
@@ -25,7 +28,9 @@
         'min_hedge_delay',
         'part',
         'relay',
+        'sending',
         'sent_at',
+        'trial',
         'upstream',
     )
 
@@ -37,6 +42,8 @@
         self.relay = ''
         self.min_hedge_delay = 0.0
         self.is_open = True
+        self.trial: Trial | None = None
+        self.sending: Sending | None = None
 
     @property
     def is_repeat(self) -> bool:
--- a/snipejunction/components/gateway/relayed.py
+++ b/snipejunction/components/gateway/relayed.py
@@ -20,6 +20,7 @@
 from snipejunction.components.gateway.stated_limits import record_limit
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.components.gateway.upstreams import Upstream
+from snipejunction.components.gateway.versions import is_held_back
 from snipejunction.components.registration.const import READY, SILENT
 from snipejunction.timers import NEVER
 
@@ -146,6 +147,8 @@
             return False
         if self._table.drained.get(record.data_centre, False):
             return False
+        if is_held_back(upstream, self._table):
+            return False
         limit = self._table.connection_limit(record.service)
         return upstream.in_flight < limit
 
--- a/snipejunction/components/gateway/run.py
+++ b/snipejunction/components/gateway/run.py
@@ -55,6 +55,12 @@
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.components.gateway.timing import hedge_delay
 from snipejunction.components.gateway.upstreams import Upstream
+from snipejunction.components.gateway.versions import (
+    count_sending,
+    is_target,
+    record_sending,
+)
+from snipejunction.components.rollouts.entry_const import MAX_TARGET_PARTS
 from snipejunction.timers import NEVER
 
 _MS_PER_SECOND: Final = 1000
@@ -127,12 +133,14 @@
     def start(self, now: float) -> Iterator[Command]:
         """Send each part to one searcher, or refuse the request."""
         chosen: list[tuple[Part, Upstream]] = []
+        tries = MAX_TARGET_PARTS
         for part in self.parts:
-            upstream = self._choose_upstream(part, now)
+            upstream = self._choose_upstream(part, now, tries_target=tries > 0)
             if upstream is None:
                 yield from self._explain_missing(part, now)
             else:
                 chosen.append((part, upstream))
+                tries -= is_target(upstream, self._table)
         if not self._has_enough_parts(len(chosen)):
             self.answer = self._refuse()
             return
@@ -204,6 +212,7 @@
         if outcome.kind.may_have_arrived:
             part.possible_deliveries += 1
         self._record_outcome(attempt, outcome, now)
+        yield from record_sending(attempt, outcome, self._table, now)
         yield from record_limit(
             attempt.upstream, outcome, attempt.sent_at, self._table, now
         )
@@ -228,7 +237,9 @@
                 yield from self._retry(part, outcome, now)
                 self._update_next_due(now)
 
-    def _choose_upstream(self, part: Part, now: float) -> Upstream | None:
+    def _choose_upstream(
+        self, part: Part, now: float, *, tries_target: bool = False
+    ) -> Upstream | None:
         return choose_upstream(
             part.service,
             self._route,
@@ -236,6 +247,7 @@
             self._table,
             now,
             is_hedge=bool(part.open_attempts),
+            tries_target=tries_target,
             context=self._context,
         )
 
@@ -266,6 +278,7 @@
         if now < upstream.cold_until:
             upstream.last_cold_send = now
         count_attempt(upstream, self._table, now)
+        count_sending(attempt, self._route.name, self._table, now)
         return attempt
 
     def _send_attempts(
--- a/snipejunction/components/gateway/tables.py
+++ b/snipejunction/components/gateway/tables.py
@@ -16,6 +16,7 @@
 from snipejunction.components.gateway.timing import QuantileWindow
 from snipejunction.components.gateway.limit_sharing import LimitSharing
 from snipejunction.components.gateway.upstreams import Upstream
+from snipejunction.components.rollouts.tables import RolloutTable
 
 
 class RelayTable:
@@ -58,6 +59,7 @@
     """
 
     __slots__ = (
+        '_rollouts',
         '_sharing',
         'active',
         'budgets',
@@ -112,6 +114,7 @@
         self.budgets: dict[str, RepeatBudget] = {}
         self.latencies: dict[str, QuantileWindow] = {}
         self._sharing = LimitSharing(name)
+        self._rollouts = RolloutTable()
 
     @property
     def region(self) -> str:
@@ -123,6 +126,11 @@
         """Return which hosts share the bounds of searchers and services."""
         return self._sharing
 
+    @property
+    def rollouts(self) -> RolloutTable:
+        """Return the roll-outs and the current versions of services."""
+        return self._rollouts
+
     @property
     def controls(self) -> dict[str, str]:
         """Return a map from all known control hosts to data centres."""
--- a/snipejunction/components/gateway/updates.py
+++ b/snipejunction/components/gateway/updates.py
@@ -47,6 +47,7 @@
     """Apply a deployment if it is newer than the current one."""
     if message.index <= table.index:
         return
+    is_first = table.index == 0
     current = 0 if table.document is None else table.document.version
     if message.version > current:
         try:
@@ -70,6 +71,12 @@
             source=message.sender,
         )
     table.index = message.index
+    yield from table.rollouts.apply(
+        message.rollouts or (),
+        message.versions or {},
+        message.index,
+        is_first=is_first,
+    )
     for data_centre, is_out in message.out.items():
         yield from _apply_drain(data_centre, is_out, table, now)
 
--- a/snipejunction/components/registration/messages.py
+++ b/snipejunction/components/registration/messages.py
@@ -10,14 +10,15 @@
 from snipejunction.messages import Message, PeerMessage
 
 
-@wire(150)
+@wire(150, optional_fields=1)
 class SearcherRecord(Record):
     """The last announcement of a searcher.
 
     ``born_ms`` is the Unix time of its start in milliseconds, 0 if unknown;
     ``sequence`` increases with each announcement and restarts with the
     process; ``cold_left`` is the remaining cold time in seconds; ``state`` is
-    one of the state constants of the component.
+    one of the state constants of the component; ``version`` is that of its
+    program, empty if unknown.
     """
 
     __slots__ = (
@@ -30,6 +31,7 @@
         'service',
         'slots',
         'state',
+        'version',
     )
 
     def __init__(
@@ -43,6 +45,7 @@
         born_ms: int,
         sequence: int,
         state: int = READY,
+        version: str = '',
     ) -> None:
         """Create a record."""
         self.searcher_id = searcher_id
@@ -54,6 +57,7 @@
         self.born_ms = born_ms
         self.sequence = sequence
         self.state = state
+        self.version = version
 
     def with_state(self, state: int) -> SearcherRecord:
         """Return a copy with another state."""
--- a/snipejunction/components/registration/searcher_status.py
+++ b/snipejunction/components/registration/searcher_status.py
@@ -90,6 +90,7 @@
             known.born_ms,
             known.sequence,
             state,
+            known.version,
         )
 
     def _is_of_this_start(self, record: SearcherRecord) -> bool:
--- a/snipejunction/edge/gateway/control_link.py
+++ b/snipejunction/edge/gateway/control_link.py
@@ -33,6 +33,10 @@
     update_hosts,
 )
 from snipejunction.components.gateway.messages import PartsMessage
+from snipejunction.components.gateway.versions import (
+    make_report,
+    prepare_report,
+)
 from snipejunction.components.gateway.stated_limits import (
     apply_limit_update,
     pop_unreported,
@@ -44,6 +48,7 @@
     LimitUpdate,
     SearcherUpdate,
 )
+from snipejunction.components.rollouts.const import REPORT_INTERVAL_SECONDS
 from snipejunction.edge import const
 from snipejunction.edge.gateway.host_profile import HostProfile, find_address
 from snipejunction.edge.gateway.relays import Relays
@@ -94,6 +99,7 @@
         self._hooks = hooks
         self._loop = loop
         self._timer: asyncio.TimerHandle | None = None
+        self._report_timer: asyncio.TimerHandle | None = None
         self._unneeded_since: dict[str, float] = {}
         self.peers: Final = PeerTable(
             profile.name,
@@ -117,9 +123,10 @@
         self._maintain_streams()
 
     def stop_heartbeats(self) -> None:
-        """Stop the heartbeat timer."""
-        if self._timer is not None:
-            self._timer.cancel()
+        """Stop the timers of heartbeats and reports."""
+        for timer in (self._timer, self._report_timer):
+            if timer is not None:
+                timer.cancel()
 
     def update_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the seed control hosts."""
@@ -214,6 +221,8 @@
         if table.index != index:
             self._hooks.on_document_changed()
             self.send_heartbeats()
+            if table.rollouts.trials:
+                self._report_rollouts()
 
     @_handle.register
     def _handle_hosts(self, message: HostsUpdate) -> None:
@@ -243,6 +252,26 @@
         now = self._loop.time()
         self._execute(apply_limit_update(message, self._hooks.table, now))
 
+    def _report_rollouts(self) -> None:
+        """Report the roll-outs now, and periodically while any is open."""
+        table = self._hooks.table
+        now = self._loop.time()
+        if self._report_timer is not None:
+            self._report_timer.cancel()
+            self._report_timer = None
+        if table.rollouts.open_trials:
+            self._report_timer = self._loop.call_later(
+                REPORT_INTERVAL_SECONDS, self._report_rollouts
+            )
+        self._execute(prepare_report(table, now))
+        host = f'{self._profile.name}/{self._profile.incarnation}'
+        report = make_report(host, table, now)
+        names = controls_to_notify(
+            table, self.connected, self._profile.seeds, now
+        )
+        for name in sorted(names):
+            self.peers.send(name, report)
+
     def _execute(self, commands: Iterable[Command]) -> None:
         for command in commands:
             if isinstance(command, LogEvent):
--- a/snipejunction/edge/gateway/gateway_host.py
+++ b/snipejunction/edge/gateway/gateway_host.py
@@ -94,6 +94,7 @@
             Random(seed),
             loop.time(),
         )
+        self.table.rollouts.exposure = profile.exposure
         self.pool = SearcherPool(
             header_names,
             loop,
@@ -229,6 +230,7 @@
             budget.remaining(share, now) for budget in table.budgets.values()
         ]
         upstreams = table.upstreams.values()
+        trials = table.rollouts.open_trials
         return {
             'document_version': (
                 'Version of the document in force, 0 without one.',
@@ -268,6 +270,18 @@
                 'Requests that were ever refused because of stated limits.',
                 table.sharing.refusals,
             ),
+            'rollouts_open': (
+                'Roll-outs that are running or switching.',
+                len(trials),
+            ),
+            'rollout_target_sends': (
+                'Attempts sent to the targets of open roll-outs.',
+                sum(trial.ledger.target_sent for trial in trials),
+            ),
+            'rollout_target_bad': (
+                'Bad answers of the targets of open roll-outs.',
+                sum(trial.evidence.target_bad for trial in trials),
+            ),
             'attempts_open': (
                 'Requests at searchers.',
                 sum(upstream.in_flight for upstream in upstreams),
--- a/snipejunction/edge/gateway/host_profile.py
+++ b/snipejunction/edge/gateway/host_profile.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from snipejunction.components.gateway.budget import RepeatLimits
+from snipejunction.components.rollouts.exposure import ExposureBounds
 from snipejunction.edge.peers import Address
 from snipejunction.errors import SettingsError
 
@@ -69,6 +70,7 @@
     ``name`` is the peer address, so that any host can connect to it.
     ``seeds`` are the names of control hosts to contact first.
     ``is_first_start`` is set when the whole system starts for the first time.
+    ``exposure`` bounds roll-outs; None where there are none.
     """
 
     __slots__ = (
@@ -77,6 +79,7 @@
         'announce_seconds',
         'data_centre',
         'data_folder',
+        'exposure',
         'incarnation',
         'ip',
         'is_first_start',
@@ -104,6 +107,7 @@
         repeat_limits: RepeatLimits,
         addresses: ListenAddresses,
         data_folder: str | None = None,
+        exposure: ExposureBounds | None = None,
     ) -> None:
         """Create a profile; ``regions`` maps data centres to regions."""
         self.ip = ip
@@ -120,6 +124,7 @@
         self.repeat_limits = repeat_limits
         self.addresses = addresses
         self.data_folder = data_folder
+        self.exposure = exposure
 
     @property
     def name(self) -> str:
