--- a/snipejunction/components/gateway/run.py
+++ b/snipejunction/components/gateway/run.py
@@ -60,7 +60,7 @@
     is_target,
     record_sending,
 )
-from snipejunction.components.rollouts.entry_const import MAX_TARGET_PARTS
+from snipejunction.components.rollouts.const import MAX_TARGET_PARTS
 from snipejunction.timers import NEVER
 
 _MS_PER_SECOND: Final = 1000
--- a/snipejunction/components/gateway/stated_limits.py
+++ b/snipejunction/components/gateway/stated_limits.py
@@ -46,6 +46,11 @@
         """Create a command."""
         self.limits = limits
 
+    @property
+    def message(self) -> LimitUpdate:
+        """Return the message to control hosts."""
+        return LimitUpdate(self.limits)
+
 
 def record_limit(
     upstream: Upstream,
--- a/snipejunction/components/gateway/versions.py
+++ b/snipejunction/components/gateway/versions.py
@@ -12,7 +12,7 @@
 from snipejunction.components.gateway.upstreams import Upstream
 from snipejunction.components.registration.const import READY
 from snipejunction.components.rollouts.const import SWITCHING
-from snipejunction.components.rollouts.entry_const import (
+from snipejunction.components.rollouts.const import (
     EVENT_REPLACED_RELEASED,
 )
 from snipejunction.components.rollouts.exposure import ExposureBounds
--- a/snipejunction/components/rollouts/const.py
+++ b/snipejunction/components/rollouts/const.py
@@ -5,6 +5,8 @@
 from types import MappingProxyType
 from typing import Final
 
+from snipejunction.commands import EventKind
+
 # States of a roll-out, in the order that they are taken.
 RUNNING: Final = 0
 SWITCHING: Final = 1
@@ -20,3 +22,35 @@
 )
 # Interval of the reports of entry hosts while a roll-out runs, in seconds.
 REPORT_INTERVAL_SECONDS: Final = 0.5
+# Share of the exposure bounds that hosts use: the rest covers hosts that
+# start again or compute their share from an outdated list of hosts.
+EXPOSURE_USED: Final = 0.6
+# Parts of one request that may try the target of a roll-out at first: without
+# one of them, most answers are still complete enough.
+MAX_TARGET_PARTS: Final = 1
+# An answer is slow beyond this multiple of the median of the replaced version
+# and at least this long after it, in seconds: two iterations of a busy event
+# loop.
+SLOW_MEDIANS: Final = 3.0
+MIN_SLOW_SECONDS: Final = 0.008
+# A host that has got this many bad answers of a target, and fewer others,
+# stops using it by itself.
+STOP_BAD_ANSWERS: Final = 8
+
+EVENT_ROLLOUT_CHANGED: Final = EventKind(
+    970,
+    'info',
+    'roll-out {number} of {service} to {target} is {state} here, index {index}',
+)
+EVENT_TARGET_STOPPED: Final = EventKind(
+    971,
+    'warning',
+    'roll-out {number}: this host no longer uses {target} of {service}: '
+    '{bad} of {total} answers are bad',
+)
+EVENT_REPLACED_RELEASED: Final = EventKind(
+    972,
+    'info',
+    'roll-out {number}: this host has nothing left at replaced searchers of '
+    '{service}',
+)
--- a/snipejunction/components/rollouts/evidence.py
+++ b/snipejunction/components/rollouts/evidence.py
@@ -6,7 +6,7 @@
 
 from snipejunction.components.gateway.replies import Outcome, OutcomeKind
 from snipejunction.components.gateway.timing import QuantileWindow
-from snipejunction.components.rollouts.entry_const import (
+from snipejunction.components.rollouts.const import (
     MIN_SLOW_SECONDS,
     SLOW_MEDIANS,
 )
--- a/snipejunction/components/rollouts/ledger.py
+++ b/snipejunction/components/rollouts/ledger.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from snipejunction.components.rollouts.entry_const import EXPOSURE_USED
+from snipejunction.components.rollouts.const import EXPOSURE_USED
 from snipejunction.components.rollouts.exposure import ExposureBounds
 
 
--- a/snipejunction/components/rollouts/tables.py
+++ b/snipejunction/components/rollouts/tables.py
@@ -10,7 +10,7 @@
     STATE_NAMES,
     SWITCHING,
 )
-from snipejunction.components.rollouts.entry_const import (
+from snipejunction.components.rollouts.const import (
     EVENT_ROLLOUT_CHANGED,
 )
 from snipejunction.components.rollouts.exposure import ExposureBounds
--- a/snipejunction/components/rollouts/trial.py
+++ b/snipejunction/components/rollouts/trial.py
@@ -8,7 +8,7 @@
 from snipejunction.commands import LogEvent
 from snipejunction.components.gateway.replies import Outcome, OutcomeKind
 from snipejunction.components.rollouts.const import RUNNING, SWITCHING
-from snipejunction.components.rollouts.entry_const import (
+from snipejunction.components.rollouts.const import (
     EVENT_TARGET_STOPPED,
     STOP_BAD_ANSWERS,
 )
--- a/snipejunction/edge/gateway/control_link.py
+++ b/snipejunction/edge/gateway/control_link.py
@@ -33,10 +33,6 @@
     update_hosts,
 )
 from snipejunction.components.gateway.messages import PartsMessage
-from snipejunction.components.gateway.versions import (
-    make_report,
-    prepare_report,
-)
 from snipejunction.components.gateway.stated_limits import (
     apply_limit_update,
     pop_unreported,
@@ -44,17 +40,21 @@
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.components.registration.const import GONE
 from snipejunction.components.registration.messages import (
-    LimitRecord,
     LimitUpdate,
     SearcherUpdate,
 )
-from snipejunction.components.rollouts.const import REPORT_INTERVAL_SECONDS
 from snipejunction.edge import const
 from snipejunction.edge.gateway.host_profile import HostProfile, find_address
 from snipejunction.edge.gateway.relays import Relays
+from snipejunction.edge.gateway.rollout_reporter import RolloutReporter
 from snipejunction.edge.keys import PeerKeys
 from snipejunction.edge.peers import Address, PeerTable
-from snipejunction.messages import Message, PeerConnected, PeerLost
+from snipejunction.messages import (
+    Message,
+    PeerConnected,
+    PeerLost,
+    PeerMessage,
+)
 
 
 class LinkHooks(Protocol):
@@ -99,7 +99,6 @@
         self._hooks = hooks
         self._loop = loop
         self._timer: asyncio.TimerHandle | None = None
-        self._report_timer: asyncio.TimerHandle | None = None
         self._unneeded_since: dict[str, float] = {}
         self.peers: Final = PeerTable(
             profile.name,
@@ -108,6 +107,13 @@
             self,
             loop,
         )
+        self._reporter = RolloutReporter(
+            f'{profile.name}/{profile.incarnation}',
+            hooks.table,
+            self.notify,
+            self.log,
+            loop,
+        )
 
     @property
     def connected(self) -> list[str]:
@@ -124,9 +130,9 @@
 
     def stop_heartbeats(self) -> None:
         """Stop the timers of heartbeats and reports."""
-        for timer in (self._timer, self._report_timer):
-            if timer is not None:
-                timer.cancel()
+        self._reporter.stop()
+        if self._timer is not None:
+            self._timer.cancel()
 
     def update_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the seed control hosts."""
@@ -147,12 +153,12 @@
         for name in sorted(names):
             self.peers.send(name, self._make_heartbeat(name in subscribed))
         now = self._loop.time()
-        self.report_limits(pop_unreported(self._hooks.table, now))
+        limits = pop_unreported(self._hooks.table, now)
+        if limits:
+            self.notify(LimitUpdate(limits))
 
-    def report_limits(self, limits: list[LimitRecord]) -> None:
-        """Report limits that searchers stated to this host."""
-        if not limits:
-            return
+    def notify(self, message: PeerMessage) -> None:
+        """Send a message to the control hosts that get heartbeats."""
         names = controls_to_notify(
             self._hooks.table,
             self.connected,
@@ -160,7 +166,7 @@
             self._loop.time(),
         )
         for name in sorted(names):
-            self.peers.send(name, LimitUpdate(limits))
+            self.peers.send(name, message)
 
     def log(self, event: LogEvent) -> None:
         """Write an event to the log."""
@@ -221,8 +227,7 @@
         if table.index != index:
             self._hooks.on_document_changed()
             self.send_heartbeats()
-            if table.rollouts.trials:
-                self._report_rollouts()
+            self._reporter.report()
 
     @_handle.register
     def _handle_hosts(self, message: HostsUpdate) -> None:
@@ -252,26 +257,6 @@
         now = self._loop.time()
         self._execute(apply_limit_update(message, self._hooks.table, now))
 
-    def _report_rollouts(self) -> None:
-        """Report the roll-outs now, and periodically while any is open."""
-        table = self._hooks.table
-        now = self._loop.time()
-        if self._report_timer is not None:
-            self._report_timer.cancel()
-            self._report_timer = None
-        if table.rollouts.open_trials:
-            self._report_timer = self._loop.call_later(
-                REPORT_INTERVAL_SECONDS, self._report_rollouts
-            )
-        self._execute(prepare_report(table, now))
-        host = f'{self._profile.name}/{self._profile.incarnation}'
-        report = make_report(host, table, now)
-        names = controls_to_notify(
-            table, self.connected, self._profile.seeds, now
-        )
-        for name in sorted(names):
-            self.peers.send(name, report)
-
     def _execute(self, commands: Iterable[Command]) -> None:
         for command in commands:
             if isinstance(command, LogEvent):
--- a/snipejunction/edge/gateway/gateway_host.py
+++ b/snipejunction/edge/gateway/gateway_host.py
@@ -193,7 +193,7 @@
 
     def report_limits(self, command: ReportLimits) -> None:
         """Report limits to the control hosts."""
-        self.link.report_limits(command.limits)
+        self.link.notify(command.message)
 
     def metrics_text(self) -> bytes:
         """Return all metrics with current gauges in the text format."""
