--- a/snipejunction/components/gateway/choosing.py
+++ b/snipejunction/components/gateway/choosing.py
@@ -54,7 +54,7 @@
     """
     regions = (context or make_context(route, None)).regions
     for upstreams in order_candidates(
-        service, table, tries_target=tries_target
+        service, table, now, tries_target=tries_target
     ):
         candidates = [
             upstream
--- a/snipejunction/components/gateway/versions.py
+++ b/snipejunction/components/gateway/versions.py
@@ -10,7 +10,7 @@
 from snipejunction.components.gateway.replies import Outcome
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.components.gateway.upstreams import Upstream
-from snipejunction.components.registration.const import READY
+from snipejunction.components.registration.const import READY, SILENT
 from snipejunction.components.rollouts.const import SWITCHING
 from snipejunction.components.rollouts.const import (
     EVENT_REPLACED_RELEASED,
@@ -22,7 +22,7 @@
 
 
 def order_candidates(
-    service: str, table: GatewayTable, *, tries_target: bool
+    service: str, table: GatewayTable, now: float, *, tries_target: bool
 ) -> list[Collection[Upstream]]:
     """Return the searchers that an attempt may go to, the preferred first.
 
@@ -39,7 +39,7 @@
     if trial is not None:
         order = use.order(
             may_try=_may_try(trial, bounds, table),
-            tries_target=tries_target,
+            tries_target=tries_target and trial.ledger.is_try_due(now),
             is_stopped=trial.is_stopped,
         )
     return [_of_version(upstreams, use, is_target) for is_target in order]
@@ -198,6 +198,6 @@
 
 def _is_ready(upstream: Upstream, table: GatewayTable, now: float) -> bool:
     record = upstream.record
-    if record.state != READY or now < upstream.cold_until:
+    if record.state not in {READY, SILENT} or now < upstream.cold_until:
         return False
     return not table.drained.get(record.data_centre, False)
--- a/snipejunction/components/rollouts/const.py
+++ b/snipejunction/components/rollouts/const.py
@@ -28,6 +28,8 @@
 # Parts of one request that may try the target of a roll-out at first: without
 # one of them, most answers are still complete enough.
 MAX_TARGET_PARTS: Final = 1
+# Least time between two tries of a target by one host, in seconds.
+MIN_TRY_INTERVAL_SECONDS: Final = 0.1
 # An answer is slow beyond this multiple of the median of the replaced version
 # and at least this long after it, in seconds: two iterations of a busy event
 # loop.
--- a/snipejunction/components/rollouts/ledger.py
+++ b/snipejunction/components/rollouts/ledger.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
-from snipejunction.components.rollouts.const import EXPOSURE_USED
+from snipejunction.components.rollouts.const import (
+    EXPOSURE_USED,
+    MIN_TRY_INTERVAL_SECONDS,
+)
 from snipejunction.components.rollouts.exposure import ExposureBounds
+from snipejunction.timers import NEVER
 
 
 class Ledger:
@@ -15,14 +19,29 @@
     message.
     """
 
-    __slots__ = ('_most_hosts', 'current_answered', 'target_sent')
+    __slots__ = (
+        '_last_target_at',
+        '_most_hosts',
+        'current_answered',
+        'target_sent',
+    )
 
     def __init__(self) -> None:
         """Create a ledger without any sends."""
         self._most_hosts = 1
+        self._last_target_at = -NEVER
         self.current_answered = 0
         self.target_sent = 0
 
+    def count_target(self, now: float) -> None:
+        """Count a send to the target."""
+        self.target_sent += 1
+        self._last_target_at = now
+
+    def is_try_due(self, now: float) -> bool:
+        """Return whether the next try of the target is due."""
+        return now >= self._last_target_at + MIN_TRY_INTERVAL_SECONDS
+
     def may_send_to_target(
         self, bounds: ExposureBounds, host_count: int, position: int | None
     ) -> bool:
--- a/snipejunction/components/rollouts/trial.py
+++ b/snipejunction/components/rollouts/trial.py
@@ -64,7 +64,8 @@
         """Count an attempt that is sent now."""
         sending = Sending(route, now, is_target=is_target, is_cold=is_cold)
         self._open.add(sending)
-        self.ledger.target_sent += is_target
+        if is_target:
+            self.ledger.count_target(now)
         return sending
 
     def finish_attempt(
