--- a/tests/components/gateway/fleet.py
+++ b/tests/components/gateway/fleet.py
@@ -110,7 +110,7 @@
                     f'{service}-{searcher}', service, cold=self._cold
                 )
                 report_searchers(table, record)
-        self._send_hosts(table, self.names)
+        self.send_hosts(table, self.names)
         return table
 
     def depart(self, name: str) -> None:
@@ -118,7 +118,7 @@
         self._departed.add(name)
         others = [other for other in self.names if other not in self._departed]
         for other in others:
-            self._send_hosts(self.tables[other], others)
+            self.send_hosts(self.tables[other], others)
 
     def send_requests(self, rate: float, seconds: float) -> None:
         """Send requests at a rate for all hosts together, then run them."""
@@ -168,14 +168,25 @@
         self.most_open[searcher] = max(
             self.most_open[searcher], self.open_requests[searcher]
         )
-        outcome = self._answer(searcher)
-        seconds = self._random.uniform(
-            MIN_ANSWER_SECONDS, self.max_answer_seconds
-        )
+        outcome, seconds = self.answer(request, attempt)
         self._schedule(
             self.now + seconds, partial(self._finish, request, attempt, outcome)
         )
 
+    def answer(
+        self, request: _FleetRequest, attempt: Attempt
+    ) -> tuple[Outcome, float]:
+        """Return how an attempt ends, and after how many seconds."""
+        outcome = self._answer(attempt.upstream.searcher_id)
+        seconds = self._random.uniform(
+            MIN_ANSWER_SECONDS, self.max_answer_seconds
+        )
+        return outcome, seconds
+
+    def route_of(self, number: int) -> Route:
+        """Return the route of a request."""
+        return self.route
+
     def count_events(self, kind: EventKind) -> int:
         """Return how many events of a kind all hosts wrote."""
         return sum(event.event is kind for event in self.events)
@@ -199,7 +210,7 @@
         self.open_requests[attempt.upstream.searcher_id] -= 1
         request.finish_attempt(attempt, outcome)
 
-    def _send_hosts(self, table: GatewayTable, names: list[str]) -> None:
+    def send_hosts(self, table: GatewayTable, names: list[str]) -> None:
         """Tell a host which entry hosts are advertised."""
         records = [
             EntryRecord(
@@ -252,7 +263,8 @@
     def _send_request(self) -> None:
         table = self.tables[self._random.choice(self.names)]
         number = next(self._numbers)
-        _FleetRequest(self, f'r{number}', self.route, table).start()
+        route = self.route_of(number)
+        _FleetRequest(self, f'r{number}', route, table).start()
 
 
 class _FleetRequest:
@@ -263,6 +275,8 @@
     ) -> None:
         self._fleet = fleet
         self._started = fleet.now
+        self.host = table.name
+        self.route = route
         self._run = RequestRun(name, route, table, fleet.now + 1, fleet.now)
         self._is_counted = False
 
