--- a/snipejunction/components/rollouts/ledger.py
+++ b/snipejunction/components/rollouts/ledger.py
@@ -50,21 +50,19 @@
         ``host_count`` is the number of hosts that share the slack, and
         ``position`` that of this host among them, None without a share.
         """
+        self._most_hosts = max(self._most_hosts, host_count)
         total = self.current_answered + self.target_sent + 1
         allowed = total * bounds.share * EXPOSURE_USED
         if position is not None:
-            allowed += self._slack_part(bounds, host_count, position)
+            allowed += self._slack_part(bounds, position)
         return self.target_sent + 1 <= allowed
 
-    def _slack_part(
-        self, bounds: ExposureBounds, host_count: int, position: int
-    ) -> int:
+    def _slack_part(self, bounds: ExposureBounds, position: int) -> int:
         """Return the requests of the slack that this host may use.
 
         The first hosts use one more each if they cannot be shared equally.
         Hosts that are gone keep what they may have used.
         """
-        self._most_hosts = max(self._most_hosts, host_count)
         requests = int(bounds.slack * EXPOSURE_USED)
         equal_part, left = divmod(requests, self._most_hosts)
         return equal_part + (position < left)
--- a/tests/components/gateway/fleet.py
+++ b/tests/components/gateway/fleet.py
@@ -204,12 +204,6 @@
             self.now + REPORT_SECONDS, lambda: self._apply_limits(update)
         )
 
-    def _finish(
-        self, request: _FleetRequest, attempt: Attempt, outcome: Outcome
-    ) -> None:
-        self.open_requests[attempt.upstream.searcher_id] -= 1
-        request.finish_attempt(attempt, outcome)
-
     def send_hosts(self, table: GatewayTable, names: list[str]) -> None:
         """Tell a host which entry hosts are advertised."""
         records = [
@@ -222,6 +216,12 @@
         hosts.sender = 'c1'
         update_hosts(hosts, table, self.now)
 
+    def _finish(
+        self, request: _FleetRequest, attempt: Attempt, outcome: Outcome
+    ) -> None:
+        self.open_requests[attempt.upstream.searcher_id] -= 1
+        request.finish_attempt(attempt, outcome)
+
     def _answer(self, searcher: str) -> Outcome:
         limit = self.limits.get(searcher, NEVER)
         if searcher in self.varying:
