--- a/snipejunction/components/gateway/updates.py
+++ b/snipejunction/components/gateway/updates.py
@@ -75,6 +75,7 @@
         message.rollouts or (),
         message.versions or {},
         message.index,
+        now,
         is_first=is_first,
     )
     for data_centre, is_out in message.out.items():
--- a/snipejunction/components/gateway/versions.py
+++ b/snipejunction/components/gateway/versions.py
@@ -11,9 +11,10 @@
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.components.gateway.upstreams import Upstream
 from snipejunction.components.registration.const import READY, SILENT
-from snipejunction.components.rollouts.const import SWITCHING
 from snipejunction.components.rollouts.const import (
     EVENT_REPLACED_RELEASED,
+    SETTLE_SECONDS,
+    SWITCHING,
 )
 from snipejunction.components.rollouts.exposure import ExposureBounds
 from snipejunction.components.rollouts.messages import RolloutReport
@@ -189,7 +190,9 @@
         return True
     if trial.is_released:
         return False
-    return trial.is_stopped or not any(
+    if trial.is_stopped or now < trial.changed_at + SETTLE_SECONDS:
+        return True
+    return not any(
         use.is_target(upstream.record.version)
         and _is_ready(upstream, table, now)
         for upstream in upstreams
--- a/snipejunction/components/rollouts/const.py
+++ b/snipejunction/components/rollouts/const.py
@@ -38,6 +38,9 @@
 # A host that has got this many bad answers of a target, and fewer others,
 # stops using it by itself.
 STOP_BAD_ANSWERS: Final = 8
+# Time in seconds for which a host that switches may still return to the
+# replaced version: two reports of what the target does under the whole load.
+SETTLE_SECONDS: Final = 1.0
 
 EVENT_ROLLOUT_CHANGED: Final = EventKind(
     970,
--- a/snipejunction/components/rollouts/tables.py
+++ b/snipejunction/components/rollouts/tables.py
@@ -61,6 +61,7 @@
         records: Iterable[RolloutRecord],
         versions: Mapping[str, str],
         index: int,
+        now: float,
         *,
         is_first: bool,
     ) -> Iterator[LogEvent]:
@@ -79,11 +80,14 @@
         for service, record in newest.items():
             known = self._trials.get(service)
             if known is None or known.record.number != record.number:
-                self._trials[service] = Trial(record, has_slack=not is_first)
+                self._trials[service] = Trial(
+                    record, now, has_slack=not is_first
+                )
             elif known.record.state == record.state:
                 continue
             else:
                 known.record = record
+                known.changed_at = now
             yield LogEvent(
                 EVENT_ROLLOUT_CHANGED,
                 number=record.number,
--- a/snipejunction/components/rollouts/trial.py
+++ b/snipejunction/components/rollouts/trial.py
@@ -28,6 +28,7 @@
 class Trial:
     """What a host sent and got during a roll-out.
 
+    ``changed_at`` is when its state last changed here, in monotonic seconds.
     ``has_slack`` is whether it may use a part of the slack. It ``is_stopped``
     once this host found the target bad, and ``is_released`` once it has told
     the control hosts that it is done with replaced searchers.
@@ -35,6 +36,7 @@
 
     __slots__ = (
         '_open',
+        'changed_at',
         'evidence',
         'has_slack',
         'is_released',
@@ -43,9 +45,12 @@
         'record',
     )
 
-    def __init__(self, record: RolloutRecord, *, has_slack: bool) -> None:
+    def __init__(
+        self, record: RolloutRecord, now: float, *, has_slack: bool
+    ) -> None:
         """Create a trial that nothing was sent for."""
         self.record = record
+        self.changed_at = now
         self.has_slack = has_slack
         self.is_stopped = False
         self.is_released = False
--- a/tests/components/gateway/test_versions.py
+++ b/tests/components/gateway/test_versions.py
@@ -104,7 +104,7 @@
     def test_no_order(self) -> None:
         """Only the current version is used, or one that is not stated."""
         self.move_to()
-        list(self.table.rollouts.apply([], {'s0': 'v3'}, 2, is_first=False))
+        list(self.table.rollouts.apply([], {'s0': 'v3'}, 2, 0, is_first=False))
         self.assertThat(sorted(self.usable()), Equals(['', 'v3']))
 
     def test_states(self) -> None:
@@ -197,6 +197,7 @@
     def test_released(self) -> None:
         """A relay is busy with parts of others, and then sends no more."""
         self.move_to(RUNNING, SWITCHING)
+        self.assertThat(self.busy(0.9), Equals([0, 1]))
         self.sent()
         self.assertThat(self.busy(), Equals([0]))
         for upstream in self.table.upstreams.values():
@@ -204,10 +205,10 @@
         self.assertThat(self.busy(), Equals([]))
         self.assertThat(self.sent(), Equals(['v2']))
 
-    def busy(self) -> list[int]:
+    def busy(self, now: float = 10) -> list[int]:
         """Return the roll-outs that this host is not done with."""
-        list(prepare_report(self.table, 10))
-        return make_report('h', self.table, 10).busy
+        list(prepare_report(self.table, now))
+        return make_report('h', self.table, now).busy
 
 
 class WireTest(TestCase):
--- a/tests/components/rollouts/test_trial.py
+++ b/tests/components/rollouts/test_trial.py
@@ -31,7 +31,7 @@
     def setUp(self) -> None:
         super().setUp()
         record = RolloutRecord('s', 'v2', 7, 30, 0, RUNNING)
-        self.trial = Trial(record, has_slack=True)
+        self.trial = Trial(record, 0, has_slack=True)
 
     def finish(
         self,
@@ -148,9 +148,9 @@
         trials = []
         for index, number in enumerate((7, 7, 9)):
             record = RolloutRecord('s', 'v2', number, 30, 0, RUNNING)
-            list(table.apply([record], {}, index, is_first=False))
+            list(table.apply([record], {}, index, 0, is_first=False))
             trials.append(table.find_trial('s'))
         self.assertThat(trials[0], Is(trials[1]))
         self.assertThat(trials[2].record.number, Equals(9))
-        list(table.apply([], {}, 9, is_first=False))
+        list(table.apply([], {}, 9, 0, is_first=False))
         self.assertThat(table.trials, Equals([]))
--- a/tests/edge/gateway/test_rollout_reporter.py
+++ b/tests/edge/gateway/test_rollout_reporter.py
@@ -34,7 +34,7 @@
         self.table.index += 1
         record = RolloutRecord('s', 'v2', 7, 30, 0, state)
         rollouts = self.table.rollouts
-        list(rollouts.apply([record], {}, self.table.index, is_first=False))
+        list(rollouts.apply([record], {}, self.table.index, 0, is_first=False))
 
     @in_loop
     async def test_no_rollout(self) -> None:
