--- a/snipejunction/edge/gateway/control_link.py
+++ b/snipejunction/edge/gateway/control_link.py
@@ -40,16 +40,21 @@
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.components.registration.const import GONE
 from snipejunction.components.registration.messages import (
-    LimitRecord,
     LimitUpdate,
     SearcherUpdate,
 )
 from snipejunction.edge import const
 from snipejunction.edge.gateway.host_profile import HostProfile, find_address
 from snipejunction.edge.gateway.relays import Relays
+from snipejunction.edge.gateway.rollout_reporter import RolloutReporter
 from snipejunction.edge.keys import PeerKeys
 from snipejunction.edge.peers import Address, PeerTable
-from snipejunction.messages import Message, PeerConnected, PeerLost
+from snipejunction.messages import (
+    Message,
+    PeerConnected,
+    PeerLost,
+    PeerMessage,
+)
 
 
 class LinkHooks(Protocol):
@@ -102,6 +107,13 @@
             self,
             loop,
         )
+        self._reporter = RolloutReporter(
+            f'{profile.name}/{profile.incarnation}',
+            hooks.table,
+            self.notify,
+            self.log,
+            loop,
+        )
 
     @property
     def connected(self) -> list[str]:
@@ -117,7 +129,8 @@
         self._maintain_streams()
 
     def stop_heartbeats(self) -> None:
-        """Stop the heartbeat timer."""
+        """Stop the timers of heartbeats and reports."""
+        self._reporter.stop()
         if self._timer is not None:
             self._timer.cancel()
 
@@ -140,12 +153,12 @@
         for name in sorted(names):
             self.peers.send(name, self._make_heartbeat(name in subscribed))
         now = self._loop.time()
-        self.report_limits(pop_unreported(self._hooks.table, now))
+        limits = pop_unreported(self._hooks.table, now)
+        if limits:
+            self.notify(LimitUpdate(limits))
 
-    def report_limits(self, limits: list[LimitRecord]) -> None:
-        """Report limits that searchers stated to this host."""
-        if not limits:
-            return
+    def notify(self, message: PeerMessage) -> None:
+        """Send a message to the control hosts that get heartbeats."""
         names = controls_to_notify(
             self._hooks.table,
             self.connected,
@@ -153,7 +166,7 @@
             self._loop.time(),
         )
         for name in sorted(names):
-            self.peers.send(name, LimitUpdate(limits))
+            self.peers.send(name, message)
 
     def log(self, event: LogEvent) -> None:
         """Write an event to the log."""
@@ -214,6 +227,7 @@
         if table.index != index:
             self._hooks.on_document_changed()
             self.send_heartbeats()
+            self._reporter.report()
 
     @_handle.register
     def _handle_hosts(self, message: HostsUpdate) -> None:
