Quotas of customers over all entry hosts

Cause: a customer's quota holds for all hosts together, in touch or not. Change: one advertised host keeps a bucket for each customer from the parts that the others cede to it; a host admits at once from the level that it was told and reports afterwards. Without answers it uses its own part. Requests over the quota are refused with 429 and the time until one fits.

--- a/snipejunction/components/gateway/limit_sharing.py
+++ b/snipejunction/components/gateway/limit_sharing.py
@@ -60,6 +60,10 @@
         """Return whether this host is one of them."""
         return self._name in self._hosts
 
+    def includes(self, name: str) -> bool:
+        """Return whether a host shares limits."""
+        return name in self._hosts
+
     def replace_active(
         self, active: Mapping[str, EntryRecord], now: float
     ) -> None:
--- a/snipejunction/components/gateway/relaying.py
+++ b/snipejunction/components/gateway/relaying.py
@@ -16,7 +16,7 @@
 )
 from snipejunction.components.gateway.parts import Attempt
 from snipejunction.components.gateway.tables import GatewayTable
-from snipejunction.helpers.rendezvous import rank
+from snipejunction.helpers.rendezvous import choose, rank
 
 
 def relays_to_connect(table: GatewayTable) -> set[str]:
@@ -40,11 +40,14 @@
     Attempts that this host sends itself are under the empty name. Only hosts
     that have a stream to this one and were not late recently are relays.
     """
+    candidates: dict[str, list[str]] = {}
+    for name in table.active.keys() & table.relays.connected_names:
+        if not _was_late_recently(name, table, now):
+            data_centre = table.active[name].data_centre
+            candidates.setdefault(data_centre, []).append(name)
     relays = {
-        record.data_centre: record.name
-        for record in table.active.values()
-        if record.name in table.relays.connected_names
-        and not _was_late_recently(record.name, table, now)
+        data_centre: choose(table.name, names) or ''
+        for data_centre, names in candidates.items()
     }
     relays[table.data_centre] = ''
     groups: dict[str, list[Attempt]] = {}
--- /dev/null
+++ b/snipejunction/components/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of customers over all entry hosts."""
--- a/snipejunction/edge/gateway/control_link.py
+++ b/snipejunction/edge/gateway/control_link.py
@@ -38,6 +38,7 @@
     pop_unreported,
 )
 from snipejunction.components.gateway.tables import GatewayTable
+from snipejunction.components.quotas.messages import QuotaMessage
 from snipejunction.components.registration.const import GONE
 from snipejunction.components.registration.messages import (
     LimitRecord,
@@ -49,7 +50,12 @@
 from snipejunction.edge.gateway.relays import Relays
 from snipejunction.edge.keys import PeerKeys
 from snipejunction.edge.peers import Address, PeerTable
-from snipejunction.messages import Message, PeerConnected, PeerLost
+from snipejunction.messages import (
+    Message,
+    PeerConnected,
+    PeerLost,
+    PeerMessage,
+)
 
 
 class LinkHooks(Protocol):
@@ -199,8 +205,9 @@
             # Another control host may have to replace it.
             self.send_heartbeats()
 
-    @_handle.register
-    def _handle_parts(self, message: PartsMessage) -> None:
+    @_handle.register(PartsMessage)
+    @_handle.register(QuotaMessage)
+    def _handle_entry_message(self, message: PeerMessage) -> None:
         self._hooks.relays.handle_message(message)
 
     @_handle.register
--- a/snipejunction/edge/gateway/exposition.py
+++ b/snipejunction/edge/gateway/exposition.py
@@ -20,13 +20,14 @@
     answers: Mapping[tuple[str, str], int],
     refusals: Mapping[str, int],
     repeats: int,
+    quotas: Mapping[tuple[str, str], int],
     latencies: Mapping[str, LatencyHistogram],
     gauges: Gauges,
 ) -> bytes:
     """Return metrics in the Prometheus text format.
 
-    ``answers`` maps routes and statuses, and ``refusals`` statuses, to counts;
-    ``latencies`` maps routes to histograms.
+    ``answers`` maps routes and statuses, ``refusals`` statuses, and ``quotas``
+    customers and decisions to counts; ``latencies`` maps routes to histograms.
     """
     registry = CollectorRegistry()
     registry.register(
@@ -35,6 +36,7 @@
                 _answers_family(answers),
                 _refusals_family(refusals),
                 _repeats_family(repeats),
+                _quotas_family(quotas),
                 _latency_family(latencies),
                 *_gauge_families(gauges),
             ]
@@ -84,6 +86,17 @@
     )
 
 
+def _quotas_family(quotas: Mapping[tuple[str, str], int]) -> Metric:
+    family = CounterMetricFamily(
+        'snipejunction_quota_requests',
+        'Requests of customers with a quota.',
+        labels=('customer', 'decision'),
+    )
+    for labels, count in quotas.items():
+        family.add_metric(labels, count)
+    return family
+
+
 def _latency_family(latencies: Mapping[str, LatencyHistogram]) -> Metric:
     family = HistogramMetricFamily(
         'snipejunction_answer_seconds',
--- a/snipejunction/edge/gateway/forwarding.py
+++ b/snipejunction/edge/gateway/forwarding.py
@@ -68,6 +68,7 @@
     """Executes the commands of one ``RequestRun``."""
 
     __slots__ = (
+        '_customer',
         '_head',
         '_hooks',
         '_is_disconnected',
@@ -95,6 +96,7 @@
         self._route = route
         self._hooks = hooks
         self._loop = loop
+        self._customer = context.customer
         document = hooks.table.document
         self._head = _format_head(
             request,
@@ -107,6 +109,13 @@
         self._is_disconnected = False
         request.on_disconnect = self._handle_disconnect
 
+    @property
+    def refused_customer(self) -> str:
+        """Return the customer if the request was refused as not run."""
+        answer = self._run.answer
+        is_refused = answer is not None and bool(answer.retry_after)
+        return self._customer if is_refused else ''
+
     def start(self) -> None:
         """Send the first attempts."""
         self._execute(self._run.start(self._loop.time()))
--- a/snipejunction/edge/gateway/gateway_host.py
+++ b/snipejunction/edge/gateway/gateway_host.py
@@ -155,6 +155,7 @@
             stack.callback(server.close)
             stack.callback(self.link.stop_heartbeats)
             stack.callback(self._stop_expiry)
+            stack.callback(self._relays.quotas.close)
             stack.callback(self.caller_server.close)
             await self.caller_server.async_listen_when_free(
                 self._address, self.log
@@ -202,12 +203,14 @@
     def on_request_done(self, forwarded: ForwardedRequest) -> None:
         """Remove a request that was answered or whose caller left."""
         self._open_requests.discard(forwarded)
+        self._relays.quotas.give_back(forwarded.refused_customer)
 
     def on_document_changed(self) -> None:
         """Apply the limits of the new deployment document."""
         document = self.table.document
         if document is not None:
             self.caller_server.limits = document.limits
+            self._relays.quotas.apply_document()
 
     def on_searcher_gone(self, searcher_id: str) -> None:
         """Close the idle connections to a removed searcher."""
@@ -286,6 +289,7 @@
                 'Connections to searchers that were ever opened.',
                 self.pool.opened_connections,
             ),
+            **self._relays.quotas.gauges(),
             'repeat_budget_least': (
                 'Repeats that the most used budget has left.',
                 min(budgets, default=0),
@@ -311,6 +315,8 @@
         if not request_id:
             self._refuse(request, _BAD_REQUEST, 'no request id')
             return
+        if not self._relays.quotas.admit(request, context.customer):
+            return
         now = self._loop.time()
         request_run = RequestRun(
             request_id.decode('latin-1'),
--- a/snipejunction/edge/gateway/relays.py
+++ b/snipejunction/edge/gateway/relays.py
@@ -7,19 +7,21 @@
 
 from snipejunction.components.gateway.messages import (
     PartsCancelled,
-    PartsMessage,
     PartsRequest,
     PartsResponse,
 )
 from snipejunction.components.gateway.relaying import relays_to_connect
+from snipejunction.components.quotas.messages import QuotaMessage
 from snipejunction.edge.gateway.forwarding import ForwardingHooks
+from snipejunction.edge.gateway.quota_link import QuotaLink
 from snipejunction.edge.gateway.relay_calls import RelayCalls
 from snipejunction.edge.gateway.relay_jobs import RelayJobs
 from snipejunction.edge.peers import PeerTable
+from snipejunction.messages import PeerMessage
 
 
 class Relays:
-    """Relay calls to and from other entry hosts."""
+    """Relay calls and quotas on streams to and from other entry hosts."""
 
     def __init__(
         self,
@@ -33,6 +35,7 @@
         self._requesters: set[str] = set()
         self.calls = RelayCalls(peers, loop)
         self.jobs = RelayJobs(peers, hooks, loop)
+        self.quotas = QuotaLink(peers, hooks, loop)
 
     def is_entry_host(self, name: str) -> bool:
         """Return whether a connected peer is an entry host."""
@@ -44,7 +47,8 @@
         )
 
     def open_streams(self) -> None:
-        """Connect to the relays that have no stream yet."""
+        """Connect to the relays and the home that have no stream yet."""
+        self.quotas.advance()
         for name in (
             relays_to_connect(self._table) - self._table.relays.connected_names
         ):
@@ -63,7 +67,7 @@
         self.jobs.handle_lost_stream(name)
 
     @singledispatchmethod
-    def handle_message(self, message: PartsMessage) -> None:
+    def handle_message(self, message: PeerMessage) -> None:
         """Handle a message from another entry host."""
         raise TypeError(f'no handler for {type(message).__name__}')
 
@@ -76,6 +80,11 @@
     def _handle_response(self, message: PartsResponse) -> None:
         self.calls.handle_response(message)
 
+    @handle_message.register
+    def _handle_quotas(self, message: QuotaMessage) -> None:
+        self._requesters.add(message.sender)
+        self.quotas.handle_message(message)
+
     @handle_message.register
     def _handle_cancelled(self, message: PartsCancelled) -> None:
         self.jobs.cancel_job(message)
--- a/snipejunction/edge/gateway/service_metrics.py
+++ b/snipejunction/edge/gateway/service_metrics.py
@@ -21,7 +21,9 @@
 )
 # Maximum number of route labels; further routes share one label.
 _MAX_ROUTES: Final = 32
-_OTHER_ROUTES: Final = 'other'
+# Maximum number of customer labels, like that of routes.
+_MAX_CUSTOMERS: Final = 100
+_OTHERS: Final = 'other'
 
 # Help text and current value by gauge name.
 Gauges: TypeAlias = dict[str, tuple[str, float]]
@@ -56,7 +58,14 @@
 class ServiceMetrics:
     """Metrics of one process, with a bounded number of labels."""
 
-    __slots__ = ('_answers', '_latencies', '_refusals', '_repeats')
+    __slots__ = (
+        '_answers',
+        '_customers',
+        '_latencies',
+        '_quotas',
+        '_refusals',
+        '_repeats',
+    )
 
     def __init__(self) -> None:
         """Create metrics without any samples."""
@@ -64,6 +73,8 @@
         self._latencies: dict[str, LatencyHistogram] = {}
         self._refusals: Counter[str] = Counter()
         self._repeats = 0
+        self._customers: set[str] = set()
+        self._quotas: Counter[tuple[str, str]] = Counter()
 
     def record_answer(self, route: str, status: int, seconds: float) -> None:
         """Count an answer and observe its latency."""
@@ -83,6 +94,13 @@
         """Count a repeated attempt."""
         self._repeats += 1
 
+    def count_quota(self, customer: str, *, is_admitted: bool) -> None:
+        """Count a decision on a request of a customer with a quota."""
+        if len(self._customers) < _MAX_CUSTOMERS:
+            self._customers.add(customer)
+        label = customer if customer in self._customers else _OTHERS
+        self._quotas[label, 'admitted' if is_admitted else 'refused'] += 1
+
     def text(self, gauges: Gauges) -> bytes:
         """Return all metrics, with ``gauges``, in the text format."""
         # Importing the library takes a tenth of the start of a process, and
@@ -93,6 +111,7 @@
             self._answers,
             self._refusals,
             self._repeats,
+            self._quotas,
             self._latencies,
             gauges,
         )
@@ -100,4 +119,4 @@
     def _route_label(self, route: str) -> str:
         if route in self._latencies or len(self._latencies) < _MAX_ROUTES:
             return route
-        return _OTHER_ROUTES
+        return _OTHERS
