--- a/tests/components/quotas/fleet.py
+++ b/tests/components/quotas/fleet.py
@@ -21,7 +21,6 @@
 from snipejunction.timers import NEVER
 from tests.components.gateway.stage import LIMITS
 
-ONE_WAY_SECONDS = 0.009
 WINDOW_SECONDS = 5.0
 NEWS_SECONDS = 1.5
 EXPIRY_SECONDS = 10.0
@@ -54,6 +53,7 @@
         self.customers: tuple[Customer, ...] = ()
         self.log: list[tuple[float, bool]] = []
         self.sent_messages = 0
+        self.one_way_seconds = 0.009
         for number in range(hosts):
             self.start(f'h{number}')
         self.announce(delay=0)
@@ -105,13 +105,21 @@
         self.hosts.pop(name)
         self.announce()
 
+    def retire(self, name: str, seconds: float) -> None:
+        """Stop a host as planned: it serves on while it is not advertised."""
+        host = self.hosts.pop(name)
+        self.announce()
+        self.hosts[name] = host
+        self._at(self.now + seconds, self.hosts.pop, name)
+
     def restart_all(self) -> None:
         """Restart all hosts at the same time; they learn of each other."""
         for name in self.names:
             self.start(name)
         for host in self.hosts.values():
+            self._announce_to(host, [host.name], self.random.random() / 2)
             names = self.random.sample(self.names, len(self.hosts) // 3)
-            self._announce_to(host, [*names, host.name], self.random.random())
+            self._announce_to(host, [*names, host.name], 1)
         self.announce()
 
     def freeze(self, name: str, seconds: float) -> None:
@@ -252,7 +260,7 @@
             if isinstance(command, SendPeer):
                 command.message.sender = host.name
                 self.sent_messages += 1
-                delay = ONE_WAY_SECONDS * (1 + self.random.random())
+                delay = self.one_way_seconds * (1 + self.random.random())
                 self._at(self.now + delay, self._deliver, host, command)
 
     def _deliver(self, sender: Host, command: SendPeer) -> None:
--- a/tests/components/quotas/test_quotas.py
+++ b/tests/components/quotas/test_quotas.py
@@ -100,6 +100,15 @@
         for choose in (one_host, all_hosts, moving):
             self.assert_load(1, 0.01, choose)
 
+    def test_slow_network(self) -> None:
+        """The rate itself at all hosts; answers take 0.2 to 0.4 s."""
+        for rate, burst in QUOTAS:
+            fleet = self.open(rate, burst)
+            fleet.one_way_seconds = 0.1
+            self.send(fleet, 1, 60)
+            self.assert_within(fleet)
+            self.assert_served(fleet, 0.02)
+
     def test_host_that_is_not_advertised(self) -> None:
         """Half the rate at a host that has no part."""
         for rate, burst in QUOTAS:
@@ -143,6 +152,19 @@
             self.send(fleet, 10, 30)
             self.assert_within(fleet, lowered_at)
 
+    def test_home_dies(self) -> None:
+        """The home dies, or it stops as planned."""
+        for rate, burst in QUOTAS:
+            for is_planned in (False, True):
+                fleet = self.open(rate, burst)
+                self.send(fleet, 5, 20)
+                if is_planned:
+                    fleet.retire(fleet.home, 4)
+                else:
+                    fleet.kill(fleet.home)
+                self.send(fleet, 5, 20)
+                self.assert_within(fleet)
+
     def test_home_dies_at_half_the_rate(self) -> None:
         """The hosts' own parts and the next home serve a usual load."""
         for rate, burst in QUOTAS:
