--- a/snipejunction/edge/gateway/control_link.py
+++ b/snipejunction/edge/gateway/control_link.py
@@ -38,6 +38,7 @@
     pop_unreported,
 )
 from snipejunction.components.gateway.tables import GatewayTable
+from snipejunction.components.quotas.messages import QuotaMessage
 from snipejunction.components.registration.const import GONE
 from snipejunction.components.registration.messages import (
     LimitUpdate,
@@ -212,8 +213,9 @@
             # Another control host may have to replace it.
             self.send_heartbeats()
 
-    @_handle.register
-    def _handle_parts(self, message: PartsMessage) -> None:
+    @_handle.register(PartsMessage)
+    @_handle.register(QuotaMessage)
+    def _handle_entry_message(self, message: PeerMessage) -> None:
         self._hooks.relays.handle_message(message)
 
     @_handle.register
