--- a/tests/processes/platform_harness.py
+++ b/tests/processes/platform_harness.py
@@ -9,6 +9,7 @@
 import socket
 import sys
 from asyncio.subprocess import Process
+from collections.abc import Mapping
 from contextlib import AsyncExitStack
 from pathlib import Path
 from types import MappingProxyType
@@ -26,6 +27,7 @@
 ENTRY = 'entry'
 # Offset of the metrics port of each role within the ports of a machine.
 METRICS_OFFSETS = MappingProxyType({CONTROL: 6, ENTRY: 7})
+NO_LIMITS: Mapping[str, int] = MappingProxyType({})
 # Ports of one machine: peers of both roles, operators, callers, readiness,
 # addresses, and the metrics of both roles.
 PORTS_PER_MACHINE = 8
@@ -60,8 +62,16 @@
 class Machine:
     """A machine that runs a process of each role."""
 
-    def __init__(self, number: int, ips: list[str], port: int, folder: Path):
+    def __init__(
+        self,
+        number: int,
+        ips: list[str],
+        port: int,
+        folder: Path,
+        limits: Mapping[str, int],
+    ) -> None:
         self.ip = ips[number]
+        self.limits = limits
         self.zone = ZONES[number]
         self.port = port
         self.seeds = [f'{ip}:{port + 2}' for ip in ips]
@@ -153,18 +163,29 @@
             f'{name} = "{self.ip}:{self.port + offsets[name]}"'
             for name in listen[role]
         )
+        lines.append('[limits]')
+        lines.extend(f'{name} = {limit}' for name, limit in self.limits.items())
         lines.append('[bounds]\ngraceS = 2\nretryRatio = 0.2\nretrySlack = 60')
         return '\n'.join(lines)
 
 
 class MachineGroup:
-    """Three machines and an HTTP client for their ports."""
+    """Three machines and an HTTP client for their ports.
+
+    ``limits`` are those of each machine, as in its settings file.
+    """
 
-    def __init__(self, folder: Path, block: int) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        block: int,
+        limits: Mapping[str, int] = NO_LIMITS,
+    ) -> None:
         ips = [f'127.0.{block}.{number}' for number in (1, 2, 3)]
         port = _find_ports(ips)
         self.machines = [
-            Machine(number, ips, port, folder) for number in range(len(ips))
+            Machine(number, ips, port, folder, limits)
+            for number in range(len(ips))
         ]
         self._stack = AsyncExitStack()
         self._client: ClientSession | None = None
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -20,6 +20,7 @@
 from tests.processes.platform_harness import (
     CONTROL,
     ENTRY,
+    NO_LIMITS,
     ROOT,
     ZONES,
     Machine,
@@ -102,14 +103,19 @@
 class PlatformCase(TestCase):
     """Three machines of both roles and two searchers."""
 
+    limits = NO_LIMITS
+
+    async def async_serve_request(self, received: ReceivedRequest) -> None:
+        await async_serve(received)
+
     async def async_start_site(self, stack: AsyncExitStack) -> MachineGroup:
         folder = stack.enter_context(tempfile.TemporaryDirectory())
         self.site = await stack.enter_async_context(
-            MachineGroup(Path(folder), 77)
+            MachineGroup(Path(folder), 77, self.limits)
         )
         self.searchers = {}
         for name in SHARDS:
-            searcher = ScriptedSearcher(async_serve)
+            searcher = ScriptedSearcher(self.async_serve_request)
             await stack.enter_async_context(searcher)
             self.searchers[name] = searcher
         self.heartbeat_task = asyncio.ensure_future(
