Crowds are measured once all that they sent is handled

Cause: the test read the peak before the processes had handled what waited in the sockets: the control process grew only later, and so did the entry process with answers that aren't read.

Change: it waits until the ends of the crowd are seen, and for unread answers until no request is open. Crowds and bounds are as before; the product is unchanged.

--- a/tests/processes/test_untrusted_callers.py
+++ b/tests/processes/test_untrusted_callers.py
@@ -24,6 +24,7 @@
     CONTROL,
     ENTRY,
     METRICS_OFFSETS,
+    POLL_SECONDS,
     Machine,
 )
 from tests.processes.test_platform import (
@@ -44,6 +45,9 @@
 # More clients than a process has descriptors.
 LARGE_CROWD = 400
 CLIENTS_WITH_LARGE_ANSWERS = 40
+# Connections to searchers and peers that a process may have opened meanwhile.
+SPARE_DESCRIPTORS = 35
+ANSWERS_TO_CROWD = 'snipejunction_answers_total{route="l"'
 PEER_PORTS = (0, 1)
 ROLES = (CONTROL, ENTRY)
 KIBIBYTE = 1024
@@ -87,6 +91,15 @@
 )
 
 
+def sum_samples(text: bytes, start: str) -> float:
+    """Return the sum of the metrics whose lines begin with ``start``."""
+    return sum(
+        float(line.rpartition(' ')[2])
+        for line in text.decode().splitlines()
+        if line.startswith(start)
+    )
+
+
 class ProcessUsage:
     """Memory and descriptors of a process, read from the system."""
 
@@ -193,12 +206,19 @@
     ) -> None:
         """Play a crowd; the machine stays within bounds and still serves."""
         address = (machine.ip, machine.port + port)
+        used = {role: self.find_usage(machine, role) for role in ROLES}
+        calm = {role: usage.descriptors for role, usage in used.items()}
         async with Crowd(address, parts) as crowd:
             await crowd.async_send(count)
-            used = {role: self.find_usage(machine, role) for role in ROLES}
             descriptors = [usage.descriptors for usage in used.values()]
             await self.async_ask(machine)
-            peaks = {role: usage.peak_megabytes for role, usage in used.items()}
+            await self.async_settle(machine, count)
+        # An end that is seen is read behind all that the client sent.
+        for role, usage in used.items():
+            while usage.descriptors > calm[role] + SPARE_DESCRIPTORS:
+                await asyncio.sleep(POLL_SECONDS)
+        await self.async_ask(machine)
+        peaks = {role: usage.peak_megabytes for role, usage in used.items()}
         for process in machine.processes.values():
             self.assertThat(process.returncode, Is(None))
         note = f'port {port}: {peaks} MB, {descriptors} descriptors'
@@ -208,6 +228,12 @@
         for opened in descriptors:
             self.assertThat(opened, LessThan(MAX_DESCRIPTORS))
 
+    async def async_settle(self, machine: Machine, count: int) -> None:
+        """Wait until the machine has handled what a crowd of ``count`` sent.
+
+        The connections are still open.
+        """
+
     def find_usage(self, machine: Machine, role: str) -> ProcessUsage:
         return ProcessUsage(machine.processes[role].pid)
 
@@ -263,11 +289,25 @@
         """More connections than descriptors that say nothing."""
         await self.async_check_callers((), LARGE_CROWD)
 
+
+class UnreadAnswersTest(UntrustedCase):
+    """Pipelined requests whose answers are not read."""
+
     @in_loop
     async def test_unread_answers(self) -> None:
-        """Pipelined requests whose answers are not read."""
+        """The answers are large."""
         await self.async_check_callers(UNREAD, CLIENTS_WITH_LARGE_ANSWERS)
 
+    async def async_settle(self, machine: Machine, count: int) -> None:
+        """Wait until each client got an answer and no request is open."""
+        url = machine.url(METRICS_OFFSETS[ENTRY], '/metrics')
+        answered, opened = 0.0, 1.0
+        while answered < count or opened:
+            text, _ = await self.site.async_call_until(200, 'GET', url)
+            answered = sum_samples(text, ANSWERS_TO_CROWD)
+            opened = sum_samples(text, 'snipejunction_requests_open ')
+            await asyncio.sleep(POLL_SECONDS)
+
 
 class OtherPortsTest(UntrustedCase):
     """Crowds against the other ports, one after the other."""
