Bound what clients outside of the limits may cost a process

Cause: a refused connection went on parsing the rest of a read of up to 256 KiB, in which each line of four bytes becomes an object, into a request that nobody counted; and a closed connection and its parser refer to each other, so that all of it stayed until a collection of garbage. The same held for the bodies of answers in the parts of a request. Answers that callers don't read and the number of connections had no bound that follows from the machine.

Change: reads are cut into slices no larger than what the head may still hold, and the parser stops at its next callback once nothing more is taken. The parser is dropped with its connection, bodies with their answer. Whole requests count, so that unfinished ones make room. Unread answers have a budget and a time-out. Budgets and connection limits follow limits.memoryMb and limits.maxFds (else the process's descriptor limit); at the limit the oldest connection without any whole request makes room. Counter snipejunction_connections_refused_total{listener,reason}, event 823 once in 2 s.

--- a/snipejunction/edge/gateway/caller_connection.py
+++ b/snipejunction/edge/gateway/caller_connection.py
@@ -14,17 +14,23 @@
 from snipejunction.components.gateway.document import CallerLimits
 from snipejunction.edge.gateway.const import (
     IDLE_GRACE_SECONDS,
-    MAX_CHUNK_OVERHEAD,
 )
 from snipejunction.edge.gateway.headers import Headers, find_header
+from snipejunction.edge.gateway.input_bounds import InputBounds
 from snipejunction.edge.gateway.partial_request import PartialRequest
+from snipejunction.edge.gateway.refusals import (
+    REASON_MEMORY,
+    RefusalCounts,
+    reason_of,
+)
 from snipejunction.edge.gateway.request_parser import RequestParser
+from snipejunction.edge.gateway.unread_answers import UnreadAnswers
 from snipejunction.edge.receive_budget import ReceiveBudget
 
 _MAX_PIPELINED_REQUESTS: Final = 16
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
-# Most bytes that the event loop reads at once.
-_READ_BYTES: Final = 262144
+# An answer from this size on is not copied behind its head.
+_LARGE_ANSWER_BYTES: Final = 65536
 
 
 class CallerRequest:
@@ -97,9 +103,14 @@
     """Interface of the server that owns the connections."""
 
     budget: ReceiveBudget
+    unsent_budget: ReceiveBudget
     limits: CallerLimits
     is_stopping: bool
 
+    @property
+    def refusals(self) -> RefusalCounts:
+        """Return the counts of refused connections."""
+
     def add_connection(self, connection: CallerConnection) -> bool:
         """Register a connection; return False at the connection limit."""
 
@@ -123,20 +134,25 @@
         self._loop = loop
         self._transport: asyncio.Transport | None = None
         self._parser = RequestParser(self)
-        # Bytes of the current message, including unfinished lines.
-        self._message_bytes = 0
+        self._input = InputBounds()
+        self._unread: UnreadAnswers | None = None
         self._account = server.budget.open(
-            lambda reason: self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
+            lambda reason: self._refuse(
+                HTTPStatus.SERVICE_UNAVAILABLE, REASON_MEMORY
+            )
         )
         self._receiving_since: float | None = None
         self._last_active_at = loop.time()
         self._current: CallerRequest | None = None
         self._queued: deque[CallerRequest] = deque()
+        self._is_parsing = False
         self._is_refused = False
         self._has_last = False
         self._is_continue_due = False
         self._is_writing_paused = False
         self.is_disconnected = False
+        # Whether the caller ever sent a whole request.
+        self.is_known = False
 
     @property
     def is_idle(self) -> bool:
@@ -156,25 +172,33 @@
         """Register the connection; abort it if the server is at its limit."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._unread = UnreadAnswers(
+            transport,
+            self._server.unsent_budget,
+            self._server.refusals,
+            self._loop.time(),
+        )
         if not self._server.add_connection(self):
             transport.abort()
 
     def data_received(self, received: bytes) -> None:
         """Parse received bytes; refuse malformed requests."""
-        if self._is_refused or self._has_last:
+        if self._input.is_over:
             return
         self._last_active_at = self._loop.time()
         if self._receiving_since is None:
             self._receiving_since = self._last_active_at
-        self._message_bytes += len(received)
-        try:
-            self._parser.feed(received)
-        except httptools.HttpParserError:
-            # What follows the last request is ignored.
-            if not self._has_last:
-                self._refuse(HTTPStatus.BAD_REQUEST)
-        self._check_size()
-        self._update_account()
+        unparsed = memoryview(received)
+        self._is_parsing = True
+        while unparsed and not self._input.is_over:
+            slice_bytes = self._input.slice_bytes(
+                self._parser.partial, self._server.limits
+            )
+            self._feed(unparsed[:slice_bytes])
+            unparsed = unparsed[slice_bytes:]
+        self._is_parsing = False
+        if self._is_refused:
+            self._parser.close()
 
     def eof_received(self) -> bool:
         """Close the connection when the caller closes its sending side."""
@@ -183,11 +207,15 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Call ``on_disconnect`` of all unanswered requests."""
         self.is_disconnected = True
-        self._account.update(0)
+        self._account.release()
+        if self._unread is not None:
+            self._unread.release()
+        self._parser.close()
         self._server.remove_connection(self)
         requests = list(self._queued)
         if self._current is not None:
             requests.append(self._current)
+        self._current = None
         self._queued.clear()
         for request in requests:
             if request.on_disconnect is not None:
@@ -196,6 +224,8 @@
     def close_if_timed_out(self, now: float) -> None:
         """Close the connection after a receive or idle timeout."""
         limits = self._server.limits
+        if self._unread is not None:
+            self._unread.check(now, limits.idle_seconds)
         if self._current is not None or self._transport is None:
             return
         if self._receiving_since is not None:
@@ -219,6 +249,8 @@
     def resume_writing(self) -> None:
         """Serve the next queued request."""
         self._is_writing_paused = False
+        if self._unread is not None:
+            self._unread.update()
         if self._queued and self._can_dispatch:
             self._dispatch(self._queued.popleft())
             self._update_account()
@@ -227,11 +259,13 @@
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
+        self._input.check()
         self._parser.partial.add_target(url)
         self._check_head_size()
 
     def on_header(self, name: bytes, field: bytes) -> None:
         """Store a header."""
+        self._input.check()
         self._parser.partial.add_header(name, field)
         self._check_head_size()
 
@@ -244,6 +278,7 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Store a chunk of the body; refuse a body over the limit."""
+        self._input.check()
         body = self._parser.partial.body
         if len(body) + len(chunk) > self._server.limits.max_body_bytes:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
@@ -252,10 +287,10 @@
 
     def on_message_complete(self) -> None:
         """Dispatch the request, or queue it behind the one being served."""
-        if self._is_refused or self._has_last:
-            return
+        self._input.check()
         self._receiving_since = None
-        self._message_bytes = 0
+        self.is_known = True
+        self._input.message_bytes = 0
         request = CallerRequest(
             self,
             self._parser.method,
@@ -269,6 +304,7 @@
         self._parser.partial = PartialRequest()
         self._is_continue_due = False
         self._has_last = request.is_last
+        self._input.is_over = request.is_last
         if self._can_dispatch:
             self._dispatch(request)
         elif len(self._queued) < _MAX_PIPELINED_REQUESTS:
@@ -291,16 +327,21 @@
             return
         will_close = self._server.is_stopping or self._is_refused
         will_close = will_close or request.is_last
-        transport.write(
-            _format_head(status, headers, len(body), will_close) + body
-        )
+        head = _format_head(status, headers, len(body), will_close)
+        if len(body) < _LARGE_ANSWER_BYTES:
+            transport.write(head + body)
+        else:
+            transport.write(head)
+            transport.write(body)
+        if self._unread is not None:
+            self._unread.update()
         if will_close:
             transport.close()
         elif self._queued and self._can_dispatch:
             self._dispatch(self._queued.popleft())
-            self._update_account()
         else:
             self._send_continue()
+        self._update_account()
 
     def _send_continue(self) -> None:
         """Ask for the body of a request whose sender waits for that."""
@@ -322,24 +363,29 @@
     def _update_account(self) -> None:
         queued = sum(request.held_bytes for request in self._queued)
         # The parser holds unfinished lines.
-        receiving = self._message_bytes + self._parser.partial.overhead_bytes
-        self._account.update(0 if self._is_refused else queued + receiving)
-
-    def _check_size(self) -> None:
-        """Refuse a head, a body or trailers without end.
+        partial = self._parser.partial
+        receiving = self._input.message_bytes + partial.uncounted_bytes
+        receiving += partial.overhead_bytes
+        current = self._current
+        self._account.update(
+            0 if self._is_refused else queued + receiving,
+            0 if current is None else current.held_bytes,
+        )
 
-        The parser reports lines and chunks only once they are complete.
-        """
-        limits = self._server.limits
-        head_bytes = limits.max_header_bytes + _READ_BYTES
-        body_bytes = limits.max_body_bytes * MAX_CHUNK_OVERHEAD
-        if (
-            not self._parser.partial.has_head
-            and self._message_bytes > head_bytes
-        ):
-            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-        elif self._message_bytes > head_bytes + body_bytes:
-            self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+    def _feed(self, received: memoryview) -> None:
+        self._input.message_bytes += len(received)
+        try:
+            self._parser.feed(received)
+        except httptools.HttpParserError:
+            # What follows the last request is ignored.
+            if not self._has_last:
+                self._refuse(HTTPStatus.BAD_REQUEST)
+        excess = self._input.find_excess(
+            self._parser.partial, self._server.limits
+        )
+        if excess is not None:
+            self._refuse(excess)
+        self._update_account()
 
     def _check_head_size(self) -> None:
         if (
@@ -348,11 +394,14 @@
         ):
             self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
-    def _refuse(self, status: HTTPStatus) -> None:
+    def _refuse(self, status: HTTPStatus, reason: str = '') -> None:
         if self._is_refused:
             return
         self._is_refused = True
-        self._parser.partial = PartialRequest()
+        self._input.is_over = True
+        self._server.refusals.add(reason or reason_of(status))
+        if not self._is_parsing:
+            self._parser.close()
         self._queued.clear()
         transport = self._transport
         if transport is None or transport.is_closing():
--- a/snipejunction/edge/gateway/const.py
+++ b/snipejunction/edge/gateway/const.py
@@ -19,6 +19,16 @@
 # Maximum number of caller connections that one server accepts.
 MAX_CALLER_CONNECTIONS: Final = 2500
 
+# Bytes of a head beyond the limit, for empty lines before it, its first line
+# and spaces around values, none of which count towards the limit.
+HEAD_SLACK_BYTES: Final = 4096
+# Most bytes of an unfinished head that are parsed at once.
+MAX_HEAD_SLICE_BYTES: Final = 16384
+# Most bytes that are parsed at once behind a head.
+MAX_BODY_SLICE_BYTES: Final = 65536
+# Upper bound of the answers of all callers that are not sent yet, in bytes.
+MAX_UNSENT_BYTES: Final = 67108864
+
 # Timeout for opening a connection to a searcher: longer than one round trip
 # to another region plus the time that the searcher takes to accept.
 CONNECT_SECONDS: Final = 0.3
@@ -51,3 +61,9 @@
     'error',
     'failed to reload the settings, kept the old ones: {reason}',
 )
+EVENT_CONNECTIONS_REFUSED: Final = EventKind(
+    823,
+    'warning',
+    'refused or closed connections of {listener} since the last line: '
+    '{reasons}',
+)
--- a/snipejunction/edge/gateway/exposition.py
+++ b/snipejunction/edge/gateway/exposition.py
@@ -43,6 +43,23 @@
     return bytes(generate_latest(registry))
 
 
+def format_closed_connections(
+    counts: Mapping[str, Mapping[str, int]],
+) -> bytes:
+    """Return counts by listener and reason in the Prometheus text format."""
+    family = CounterMetricFamily(
+        'snipejunction_connections_refused',
+        'Connections that were refused or closed for what they sent or held.',
+        labels=('listener', 'reason'),
+    )
+    for listener, reasons in counts.items():
+        for reason, count in reasons.items():
+            family.add_metric((listener, reason), count)
+    registry = CollectorRegistry()
+    registry.register(_Families([family]))
+    return bytes(generate_latest(registry))
+
+
 class _Families(Collector):
     """Collector of metrics that were counted without the library."""
 
--- a/snipejunction/edge/gateway/forwarding.py
+++ b/snipejunction/edge/gateway/forwarding.py
@@ -212,6 +212,17 @@
         self._log_answer(answer, elapsed)
         self._hooks.on_request_done(self)
         self._schedule_cancel()
+        self._drop_bodies(answer)
+
+    def _drop_bodies(self, answer: Answer) -> None:
+        """Free what is sent: parts and their attempts refer to each other.
+
+        They stay until the next collection of garbage.
+        """
+        answer.body = b''
+        for part in self._run.parts:
+            part.reply = None
+            part.failure = None
 
     def _log_answer(self, answer: Answer, elapsed: float) -> None:
         is_success = answer.status in SUCCESSES
--- a/snipejunction/edge/gateway/host_profile.py
+++ b/snipejunction/edge/gateway/host_profile.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from snipejunction.components.gateway.budget import RepeatLimits
+from snipejunction.edge.gateway.process_bounds import ProcessBounds
 from snipejunction.edge.peers import Address
 from snipejunction.errors import SettingsError
 
@@ -75,6 +76,7 @@
         'address_ttl_seconds',
         'addresses',
         'announce_seconds',
+        'bounds',
         'data_centre',
         'data_folder',
         'incarnation',
@@ -104,6 +106,7 @@
         repeat_limits: RepeatLimits,
         addresses: ListenAddresses,
         data_folder: str | None = None,
+        bounds: ProcessBounds | None = None,
     ) -> None:
         """Create a profile; ``regions`` maps data centres to regions."""
         self.ip = ip
@@ -120,6 +123,7 @@
         self.repeat_limits = repeat_limits
         self.addresses = addresses
         self.data_folder = data_folder
+        self.bounds = bounds or ProcessBounds()
 
     @property
     def name(self) -> str:
--- a/snipejunction/edge/gateway/http_server.py
+++ b/snipejunction/edge/gateway/http_server.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from functools import partial
-from typing import TypeAlias
+from typing import Final, TypeAlias
 
 from snipejunction.commands import LogEvent
 from snipejunction.components.gateway.document import CallerLimits
@@ -19,8 +19,13 @@
     MAX_BODY_BYTES,
     MAX_CALLER_CONNECTIONS,
     MAX_HEADER_BYTES,
+    MAX_UNSENT_BYTES,
     SWEEP_INTERVAL_SECONDS,
 )
+from snipejunction.edge.gateway.refusals import (
+    REASON_CONNECTIONS,
+    RefusalCounts,
+)
 from snipejunction.edge.peers import Address
 from snipejunction.edge.receive_budget import ReceiveBudget
 from snipejunction.edge.start_retries import (
@@ -28,6 +33,8 @@
     async_retry_start,
 )
 
+_BACKLOG: Final = 1024
+_MIN_BACKLOG: Final = 128
 OnRequest: TypeAlias = Callable[[CallerRequest], None]
 
 
@@ -46,10 +53,16 @@
         """
         self._on_request = on_request
         self._loop = loop
-        self._connections: set[CallerConnection] = set()
+        # In the order of their start.
+        self._connections: dict[CallerConnection, None] = {}
         self._server: asyncio.Server | None = None
         self._sweep_timer: asyncio.TimerHandle | None = None
         self.budget = budget
+        self.unsent_budget = ReceiveBudget(
+            'unread answers', MAX_UNSENT_BYTES, budget.log
+        )
+        self.refusals: Final = RefusalCounts()
+        self.max_connections = MAX_CALLER_CONNECTIONS
         self.is_stopping = False
         self.limits = CallerLimits(
             MAX_HEADER_BYTES,
@@ -87,7 +100,7 @@
             self._create_connection,
             ip,
             port,
-            backlog=1024,
+            backlog=min(_BACKLOG, max(_MIN_BACKLOG, self.max_connections)),
             reuse_address=True,
         )
         self._sweep()
@@ -123,20 +136,39 @@
             connection.close()
 
     def add_connection(self, connection: CallerConnection) -> bool:
-        """Register a connection; return False at the connection limit."""
-        if len(self._connections) >= MAX_CALLER_CONNECTIONS:
-            return False
-        self._connections.add(connection)
+        """Register a connection; return False at the connection limit.
+
+        The oldest connection without any whole request makes room for it.
+        """
+        if len(self._connections) >= self.max_connections:
+            oldest = self._oldest_unknown()
+            if oldest is None:
+                self.refusals.add(REASON_CONNECTIONS)
+                return False
+            self.remove_connection(oldest)
+            self.refusals.add(REASON_CONNECTIONS)
+            oldest.close()
+        self._connections[connection] = None
         return True
 
     def remove_connection(self, connection: CallerConnection) -> None:
         """Remove a closed connection."""
-        self._connections.discard(connection)
+        self._connections.pop(connection, None)
 
     def dispatch(self, request: CallerRequest) -> None:
         """Pass a request to the request handler."""
         self._on_request(request)
 
+    def _oldest_unknown(self) -> CallerConnection | None:
+        return next(
+            (
+                connection
+                for connection in self._connections
+                if not connection.is_known
+            ),
+            None,
+        )
+
     def _create_connection(self) -> CallerConnection:
         return CallerConnection(self, self._loop)
 
--- a/snipejunction/edge/gateway/partial_request.py
+++ b/snipejunction/edge/gateway/partial_request.py
@@ -13,15 +13,25 @@
     """The parts of a request that the parser has reported so far.
 
     ``head_bytes`` is the size of the target, the headers and the trailers.
+    ``uncounted_bytes`` is an upper bound of what was received of it together
+    with the request before it.
     """
 
-    __slots__ = ('body', 'has_head', 'head_bytes', 'headers', 'target')
+    __slots__ = (
+        'body',
+        'has_head',
+        'head_bytes',
+        'headers',
+        'target',
+        'uncounted_bytes',
+    )
 
     def __init__(self) -> None:
         """Create a request of which nothing is received."""
         self.target = b''
         self.headers: Headers = []
         self.head_bytes = 0
+        self.uncounted_bytes = 0
         self.has_head = False
         self.body = bytearray()
 
--- a/snipejunction/edge/gateway/request_parser.py
+++ b/snipejunction/edge/gateway/request_parser.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from typing import Final, Protocol
 
 import httptools
 
@@ -28,6 +28,28 @@
         """Handle the end of a request."""
 
 
+class _ClosedOwner:
+    """Owner of a closed parser, which is fed nothing more."""
+
+    def on_url(self, url: bytes) -> None:
+        """Ignore a part of the request target."""
+
+    def on_header(self, name: bytes, field: bytes) -> None:
+        """Ignore a header."""
+
+    def on_headers_complete(self) -> None:
+        """Ignore the end of the head."""
+
+    def on_body(self, chunk: bytes) -> None:
+        """Ignore a part of the body."""
+
+    def on_message_complete(self) -> None:
+        """Ignore the end of a request."""
+
+
+_CLOSED_OWNER: Final = _ClosedOwner()
+
+
 class RequestParser:
     """Parses requests; those that offer another protocol have their body.
 
@@ -36,13 +58,10 @@
 
     def __init__(self, owner: RequestOwner) -> None:
         """Create a parser that calls ``owner``."""
-        self._owner = owner
         self._is_upgrade_offered = False
-        # The parser of httptools calls these.
-        self.on_url = owner.on_url
-        self.on_header = owner.on_header
-        self.on_body = owner.on_body
-        self.partial = PartialRequest()
+        self._fed_bytes = 0
+        self._has_completed = False
+        self._attach(owner)
         self._parser = httptools.HttpRequestParser(self)
 
     @property
@@ -64,21 +83,35 @@
             return False
         return self.partial.header(b'expect').lower() == b'100-continue'
 
-    def feed(self, received: bytes) -> None:
+    def feed(self, received: bytes | memoryview) -> None:
         """Parse received bytes.
 
         Raises:
             HttpParserError: if they are no request.
         """
+        self._fed_bytes = len(received)
+        self._has_completed = False
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserUpgrade as upgrade:
             if self._is_body_skipped:
                 self._feed_without_upgrade(received[upgrade.args[0] :])
 
+    def close(self) -> None:
+        """Drop the owner and all that is held of a request.
+
+        The parser and its owner refer to each other, and what they hold would
+        otherwise stay until the next collection of garbage.
+        """
+        self._attach(_CLOSED_OWNER)
+        self._parser = httptools.HttpRequestParser(_CLOSED_OWNER)
+
     def on_message_begin(self) -> None:
         """Start a new request."""
         self.partial = PartialRequest()
+        if self._has_completed:
+            # It is not known where in the bytes it starts.
+            self.partial.uncounted_bytes = self._fed_bytes
 
     def on_headers_complete(self) -> None:
         """Pass on the end of a head, unless it is parsed again."""
@@ -88,6 +121,7 @@
     def on_message_complete(self) -> None:
         """Pass on the end of a request, unless it is parsed again."""
         if not self._is_body_skipped:
+            self._has_completed = True
             self._owner.on_message_complete()
 
     @property
@@ -95,7 +129,15 @@
         """Return whether httptools ends the request at its head."""
         return self._parser.should_upgrade() and self.method != b'CONNECT'
 
-    def _feed_without_upgrade(self, rest: bytes) -> None:
+    def _attach(self, owner: RequestOwner) -> None:
+        self._owner = owner
+        # The parser of httptools calls these.
+        self.on_url = owner.on_url
+        self.on_header = owner.on_header
+        self.on_body = owner.on_body
+        self.partial = PartialRequest()
+
+    def _feed_without_upgrade(self, rest: bytes | memoryview) -> None:
         head = self.partial.format_head(
             self.method, self._parser.get_http_version()
         )
--- a/snipejunction/platform/control_role.py
+++ b/snipejunction/platform/control_role.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from snipejunction.edge.control_host import ControlHost
+from snipejunction.edge.gateway.process_bounds import LISTENER_CONTROL
 from snipejunction.edge.keys import PeerKeys
 from snipejunction.platform.calls import ControlCalls
 from snipejunction.platform.process import PEER_KEY, Process, run
@@ -29,7 +30,10 @@
         await stack.enter_async_context(host)
         calls = ControlCalls(host, profile)
         await process.async_listen(
-            profile.addresses.control, calls.handle, stack
+            LISTENER_CONTROL,
+            profile.addresses.control,
+            calls.handle,
+            stack,
         )
         return await process.async_serve(host, stack)
     return 0
--- a/snipejunction/platform/entry_role.py
+++ b/snipejunction/platform/entry_role.py
@@ -11,6 +11,11 @@
 from snipejunction.components.gateway.addressing import find_addresses
 from snipejunction.edge.gateway.caller_connection import CallerRequest
 from snipejunction.edge.gateway.gateway_host import GatewayHost
+from snipejunction.edge.gateway.process_bounds import (
+    LISTENER_ADDRESSES,
+    LISTENER_CALLERS,
+    LISTENER_READINESS,
+)
 from snipejunction.edge.keys import PeerKeys
 from snipejunction.platform import names
 from snipejunction.platform.answers import respond_json, respond_status
@@ -38,11 +43,16 @@
             process.log,
             secrets.randbits(_SEED_BITS),
         )
+        process.bound_server(LISTENER_CALLERS, host.caller_server)
+        host.pool.budget.limit = process.profile.bounds.received_answer_bytes
         await stack.enter_async_context(host)
         address = process.profile.addresses.ready
         respond_readiness = partial(_respond_readiness, host)
-        await process.async_listen(address, respond_readiness, stack)
         await process.async_listen(
+            LISTENER_READINESS, address, respond_readiness, stack
+        )
+        await process.async_listen(
+            LISTENER_ADDRESSES,
             process.profile.addresses.directory,
             partial(_respond_addresses, host),
             stack,
--- a/snipejunction/platform/process.py
+++ b/snipejunction/platform/process.py
@@ -20,12 +20,14 @@
 from snipejunction.edge.event_log import EventLog
 from snipejunction.edge.gateway.caller_connection import CallerRequest
 from snipejunction.edge.gateway.const import (
+    EVENT_CONNECTIONS_REFUSED,
     EVENT_SETTINGS_KEPT,
     EVENT_SETTINGS_READ,
-    MAX_RECEIVED_REQUEST_BYTES,
 )
+from snipejunction.edge.gateway.refusals import format_refusals
 from snipejunction.edge.gateway.headers import content_type_headers
 from snipejunction.edge.gateway.host_profile import HostProfile
+from snipejunction.edge.gateway.process_bounds import LISTENER_METRICS
 from snipejunction.edge.gateway.http_server import HttpServer
 from snipejunction.edge.library_logs import LibraryLogHandler
 from snipejunction.edge.peers import Address
@@ -91,8 +93,11 @@
         self._file_stamp = file_stamp
         self._host: Host | None = None
         self._budget = ReceiveBudget(
-            'operators', MAX_RECEIVED_REQUEST_BYTES, self.log.write
+            'operators',
+            profile.bounds.received_request_bytes,
+            self.log.write,
         )
+        self._servers: dict[str, HttpServer] = {}
         self._poll_timer: asyncio.TimerHandle | None = None
 
     def handle_signals(self) -> None:
@@ -127,6 +132,7 @@
 
     async def async_listen(
         self,
+        listener: str,
         address: Address | None,
         on_request: Callable[[CallerRequest], None],
         stack: AsyncExitStack,
@@ -136,18 +142,28 @@
         if address is None:
             return
         server = HttpServer(on_request, self.loop, self._budget)
+        self.bound_server(listener, server)
         stack.callback(server.close)
         await server.async_listen_when_free(
             address, self.log.write, max_seconds
         )
 
+    def bound_server(self, listener: str, server: HttpServer) -> None:
+        """Apply the bounds of the machine; report what is refused."""
+        bounds = self.profile.bounds
+        server.max_connections = bounds.max_connections(listener)
+        server.budget.limit = bounds.received_request_bytes
+        server.unsent_budget.limit = bounds.unsent_bytes
+        self._servers[listener] = server
+
     def _serve_metrics(self, host: Host, stack: AsyncExitStack) -> None:
         # Serving does not depend on metrics, whose port another program may
         # hold for good.
         task = self.loop.create_task(
             self.async_listen(
+                LISTENER_METRICS,
                 self.profile.addresses.metrics,
-                partial(_respond_metrics, host),
+                partial(_respond_metrics, host, self._servers),
                 stack,
                 math.inf,
             )
@@ -161,6 +177,7 @@
             self.stop_requested.set()
 
     def _poll_settings(self) -> None:
+        self._log_refusals()
         # The file may change without a SIGHUP.
         if _read_file_stamp(self._path) != self._file_stamp:
             self._reload()
@@ -169,6 +186,18 @@
             self._poll_settings,
         )
 
+    def _log_refusals(self) -> None:
+        for listener, server in self._servers.items():
+            reasons = server.refusals.take()
+            if reasons:
+                self.log.write(
+                    LogEvent(
+                        EVENT_CONNECTIONS_REFUSED,
+                        listener=listener,
+                        reasons=reasons,
+                    ),
+                )
+
     def _stop_polling(self) -> None:
         if self._poll_timer is not None:
             self._poll_timer.cancel()
@@ -186,9 +215,16 @@
             self._host.update_seeds(reloaded.seeds)
 
 
-def _respond_metrics(host: Host, request: CallerRequest) -> None:
+def _respond_metrics(
+    host: Host, servers: dict[str, HttpServer], request: CallerRequest
+) -> None:
+    counts = {
+        listener: server.refusals.totals for listener, server in servers.items()
+    }
     request.respond(
-        _OK, content_type_headers(_METRICS_CONTENT_TYPE), host.metrics_text()
+        _OK,
+        content_type_headers(_METRICS_CONTENT_TYPE),
+        host.metrics_text() + format_refusals(counts),
     )
 
 
--- a/snipejunction/platform/settings.py
+++ b/snipejunction/platform/settings.py
@@ -14,6 +14,7 @@
     ListenAddresses,
     parse_address,
 )
+from snipejunction.edge.gateway.process_bounds import ProcessBounds
 from snipejunction.edge.peers import Address
 from snipejunction.errors import SettingsError
 from snipejunction.platform.fields import Fields
@@ -23,6 +24,7 @@
 # Peer port of each role, relative to the first port of the range.
 _PORT_OFFSETS: Final = MappingProxyType({ROLE_CONTROL: 0, ROLE_ENTRY: 1})
 _INCARNATION_BYTES: Final = 8
+_MEBIBYTE: Final = 1048576
 _DEFAULT_GRACE_SECONDS: Final = 6
 _DEFAULT_HEARTBEAT_MS: Final = 1000
 _DEFAULT_TTL_SECONDS: Final = 5
@@ -82,6 +84,7 @@
         announce_seconds=fields.seconds('heartbeatMs', _DEFAULT_HEARTBEAT_MS),
         address_ttl_seconds=bounds.number('ttl_max_s', _DEFAULT_TTL_SECONDS),
         repeat_limits=limits,
+        bounds=_read_process_bounds(fields.table('limits')),
         data_folder=fields.string('dataDir', '') or None,
         addresses=ListenAddresses(
             callers=_read_address(listen, 'front'),
@@ -93,6 +96,16 @@
     )
 
 
+def _read_process_bounds(limits: Fields) -> ProcessBounds:
+    memory_bytes = None
+    if limits.has('memoryMb'):
+        memory_bytes = int(limits.number('memoryMb') * _MEBIBYTE)
+    descriptors = None
+    if limits.has('maxFds'):
+        descriptors = limits.integer('maxFds')
+    return ProcessBounds(memory_bytes, descriptors)
+
+
 def _read_seeds(fields: Fields, control_port: int) -> tuple[str, ...]:
     # Seeds hold the port for operators. The peer port of control hosts is the
     # same on every machine.
--- a/tests/edge/gateway/test_caller_connection.py
+++ b/tests/edge/gateway/test_caller_connection.py
@@ -48,6 +48,7 @@
         server = HttpServer(handle or self.requests.append, loop, budget)
         self.stack.callback(server.close)
         await server.async_listen('127.0.0.1', 0)
+        self.server = server
         self.port = server.port
 
     async def async_connect(self, *parts: bytes) -> asyncio.StreamReader:
