Merge bounds on clients outside of the limits

Change: input, connections and unread answers of callers are bounded by the memory and the descriptors of the machine.

--- a/snipejunction/edge/gateway/host_profile.py
+++ b/snipejunction/edge/gateway/host_profile.py
@@ -8,6 +8,7 @@
 
 from snipejunction.components.gateway.budget import RepeatLimits
 from snipejunction.components.rollouts.exposure import ExposureBounds
+from snipejunction.edge.gateway.process_bounds import ProcessBounds
 from snipejunction.edge.peers import Address
 from snipejunction.errors import SettingsError
 
@@ -78,6 +79,7 @@
         'address_ttl_seconds',
         'addresses',
         'announce_seconds',
+        'bounds',
         'data_centre',
         'data_folder',
         'exposure',
@@ -109,6 +111,7 @@
         addresses: ListenAddresses,
         data_folder: str | None = None,
         exposure: ExposureBounds | None = None,
+        bounds: ProcessBounds | None = None,
     ) -> None:
         """Create a profile; ``regions`` maps data centres to regions."""
         self.ip = ip
@@ -126,6 +129,7 @@
         self.addresses = addresses
         self.data_folder = data_folder
         self.exposure = exposure
+        self.bounds = bounds or ProcessBounds()
 
     @property
     def name(self) -> str:
--- a/snipejunction/platform/settings.py
+++ b/snipejunction/platform/settings.py
@@ -15,6 +15,7 @@
     ListenAddresses,
     parse_address,
 )
+from snipejunction.edge.gateway.process_bounds import ProcessBounds
 from snipejunction.edge.peers import Address
 from snipejunction.errors import SettingsError
 from snipejunction.platform.fields import Fields
@@ -24,6 +25,7 @@
 # Peer port of each role, relative to the first port of the range.
 _PORT_OFFSETS: Final = MappingProxyType({ROLE_CONTROL: 0, ROLE_ENTRY: 1})
 _INCARNATION_BYTES: Final = 8
+_MEBIBYTE: Final = 1048576
 _DEFAULT_GRACE_SECONDS: Final = 6
 _DEFAULT_HEARTBEAT_MS: Final = 1000
 _DEFAULT_TTL_SECONDS: Final = 5
@@ -85,6 +87,7 @@
         address_ttl_seconds=bounds.number('ttl_max_s', _DEFAULT_TTL_SECONDS),
         repeat_limits=limits,
         exposure=_read_exposure(bounds),
+        bounds=_read_process_bounds(fields.table('limits')),
         data_folder=fields.string('dataDir', '') or None,
         addresses=ListenAddresses(
             callers=_read_address(listen, 'front'),
@@ -106,6 +109,16 @@
     )
 
 
+def _read_process_bounds(limits: Fields) -> ProcessBounds:
+    memory_bytes = None
+    if limits.has('memoryMb'):
+        memory_bytes = int(limits.number('memoryMb') * _MEBIBYTE)
+    descriptors = None
+    if limits.has('maxFds'):
+        descriptors = limits.integer('maxFds')
+    return ProcessBounds(memory_bytes, descriptors)
+
+
 def _read_seeds(fields: Fields, control_port: int) -> tuple[str, ...]:
     # Seeds hold the port for operators. The peer port of control hosts is the
     # same on every machine.
