--- a/tests/components/gateway/test_versions.py
+++ b/tests/components/gateway/test_versions.py
@@ -135,6 +135,12 @@
             usable = self.usable(tries_target=tries_target)
             self.assertThat(sorted(usable), Equals(['', 'v1']))
 
+    def test_just_started(self) -> None:
+        """A host whose first deployment has an order uses no slack."""
+        self.table.index = 0
+        self.move_to(RUNNING)
+        self.assertThat(sorted(self.usable()), Equals(['', 'v1']))
+
     def test_cold_target(self) -> None:
         """A cold target keeps the rate of cold searchers."""
         self.move_to(RUNNING)
