Give entry hosts time to settle before a switch counts them as lost

Cause: a host reports a switch at least 1 s after it applied it, and the report takes up to two intervals of 0.5 s; after 1.5 s the leader went on without the reports. Change: 2.5 s. Measured: tests of roll-outs and of roll-outs with processes pass.

--- a/snipejunction/components/rollouts/const.py
+++ b/snipejunction/components/rollouts/const.py
@@ -33,8 +33,9 @@
 REPORT_INTERVAL_SECONDS: Final = 0.5
 # Interval of the verdicts of the leader, in seconds.
 DECISION_INTERVAL_SECONDS: Final = 0.1
-# Time within which each host notices that another one is lost, in seconds.
-LOST_HOST_SECONDS: Final = 1.5
+# Time after a switch within which each host in touch has settled and reported
+# so, in seconds; one that has not is lost.
+LOST_HOST_SECONDS: Final = 2.5
 # Share of the duration after which no host delays the end of a switch.
 END_SHARE: Final = 0.95
 # Time from the deadline of an order within which the same order is a repeated
