Ask for keys if the list of customers is empty

Cause: a document with an empty list of customers counted as one without the list, so that removing the last customer opened all routes to anybody.

Change: a document that lists customers, even none, needs keys. An absent list or null needs none, as before. The tests of a document without customers now leave out the list; the empty list has tests of its own.

--- a/snipejunction/components/gateway/document.py
+++ b/snipejunction/components/gateway/document.py
@@ -179,7 +179,8 @@
     """One version of the deployment document.
 
     ``shard_services`` holds the services that are shards of any route.
-    ``customers`` maps names to customers; without any, requests need no key.
+    ``customers`` maps names to customers. A document that lists them, even
+    none, ``needs_keys`` in requests.
     ``customers_by_digest`` maps the SHA-256 of each key to its customer.
     """
 
@@ -187,6 +188,7 @@
         'customers',
         'customers_by_digest',
         'limits',
+        'needs_keys',
         'routes',
         'services',
         'shard_services',
@@ -199,9 +201,12 @@
         routes: tuple[Route, ...],
         services: dict[str, Service],
         limits: CallerLimits,
-        customers: tuple[Customer, ...] = (),
+        customers: tuple[Customer, ...] | None = None,
     ) -> None:
-        """Create a document; ``services`` maps names to services."""
+        """Create a document; ``services`` maps names to services.
+
+        ``customers`` is None if it does not list customers.
+        """
         self.version = version
         self.routes = routes
         self.services = services
@@ -209,6 +214,8 @@
             service for route in routes for service in route.shards
         )
         self.limits = limits
+        self.needs_keys = customers is not None
+        customers = customers or ()
         self.customers = {customer.name: customer for customer in customers}
         self.customers_by_digest = {
             digest: customer
--- a/snipejunction/edge/gateway/forwarding.py
+++ b/snipejunction/edge/gateway/forwarding.py
@@ -101,7 +101,7 @@
         self._head = _format_head(
             request,
             hooks.header_names,
-            None if document is None or not document.customers else context,
+            None if document is None or not document.needs_keys else context,
         )
         self._pending: dict[Attempt, PendingRequest] = {}
         self._relay_calls: list[RelayCall] = []
--- a/snipejunction/edge/gateway/identification.py
+++ b/snipejunction/edge/gateway/identification.py
@@ -21,6 +21,6 @@
     """Return the context of a request, None if it lacks a customer's key."""
     keys = request.header_values(header_names.key)
     customer = find_customer(document, keys)
-    if document.customers and customer is None and not route.is_public:
+    if document.needs_keys and customer is None and not route.is_public:
         return None
     return make_context(route, customer)
--- a/snipejunction/platform/documents.py
+++ b/snipejunction/platform/documents.py
@@ -61,12 +61,15 @@
     routes = tuple(
         _read_route(route, services) for route in fields.tables('routes')
     )
+    customers = None
+    if fields.has('tenants'):
+        customers = tuple(map(_read_customer, fields.tables('tenants')))
     return Document(
         fields.integer('version', lowest=1),
         routes,
         services,
         _read_limits(fields.table('limits')),
-        tuple(map(_read_customer, fields.tables('tenants'))),
+        customers,
     )
 
 
--- a/tests/edge/gateway/test_customers.py
+++ b/tests/edge/gateway/test_customers.py
@@ -193,12 +193,36 @@
         self.assertThat(found, Equals([[], [], [], ['x-customer: large']]))
 
 
+class EmptyCustomersTest(CustomersCase):
+    """A document whose list of customers is empty."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.customers = ()
+
+    @in_loop
+    async def test_refused(self) -> None:
+        """No key is valid, so that each request is refused."""
+        for reply in await self.async_replies((), (KEY,)):
+            self.assertThat(reply, StartsWith(b'HTTP/1.1 401'))
+        self.assertThat(self.searchers['s'].received_requests, Equals([]))
+
+    @in_loop
+    async def test_public_route(self) -> None:
+        """A public route stays open; nothing about customers passes."""
+        self.is_public = True
+        replies = await self.async_replies(SPOOFED)
+        self.assertThat(replies[0], StartsWith(b'HTTP/1.1 200'))
+        received = self.searchers['s'].received_requests[0]
+        self.assertThat(customer_headers(received), Equals([]))
+
+
 class NoCustomersTest(CustomersCase):
     """A document without customers."""
 
     def setUp(self) -> None:
         super().setUp()
-        self.customers = ()
+        self.customers = None
 
     @in_loop
     async def test_refused(self) -> None:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -264,8 +264,20 @@
         for key in KEYS:
             self.assertThat(repr(document), Not(Contains(key)))
             self.assertThat(repr(first), Not(Contains(key)))
-        plain = read_document(encode_json(dict(DOCUMENT)))
-        self.assertThat(plain.customers, Equals({}))
+        self.assertTrue(document.needs_keys)
+
+    def test_no_customers(self) -> None:
+        """A list of customers asks for keys, also if it is empty."""
+        for fields, needs_keys in (
+            ({}, False),
+            ({'tenants': None}, False),
+            ({'tenants': []}, True),
+        ):
+            content = encode_json({**DOCUMENT, **fields})
+            for read in (read_document, read_accepted_document):
+                document = read(content)
+                self.assertThat(document.customers, Equals({}))
+                self.assertThat(document.needs_keys, Equals(needs_keys))
 
     def test_shared_key(self) -> None:
         """No two customers share a key; an accepted document may."""
