Never pass on the caller's key or customer header

Cause: a host whose document does not list customers yet passed the headers about key and customer on, although a newer document with customers may be in force elsewhere: during the first change to customers, and at hosts that are out of touch, searchers got keys and names that nobody had checked.

Change: both headers are dropped from every request. A test asked that they pass unchanged without customers; that is what leaked the key, so the test now asks for neither of them, while another header passes. Requests without these headers are sent as before.

--- a/snipejunction/edge/gateway/forwarding.py
+++ b/snipejunction/edge/gateway/forwarding.py
@@ -97,12 +97,7 @@
         self._hooks = hooks
         self._loop = loop
         self._customer = context.customer
-        document = hooks.table.document
-        self._head = _format_head(
-            request,
-            hooks.header_names,
-            None if document is None or not document.needs_keys else context,
-        )
+        self._head = _format_head(request, hooks.header_names, context.customer)
         self._pending: dict[Attempt, PendingRequest] = {}
         self._relay_calls: list[RelayCall] = []
         self._timer: asyncio.TimerHandle | None = None
@@ -318,19 +313,22 @@
 def _format_head(
     request: CallerRequest,
     header_names: HeaderNames,
-    context: RequestContext | None,
+    customer: str,
 ) -> bytes:
     """Return the request head without the headers set per attempt.
 
-    With a ``context`` the headers about the customer are replaced.
+    The caller's headers about the customer are dropped also while this host
+    knows of no customers: other hosts may know of them already.
     """
-    replaced = {header_names.deadline, header_names.expected_searcher}
+    replaced = {
+        header_names.deadline,
+        header_names.expected_searcher,
+        header_names.key,
+        header_names.customer,
+    }
     lines = [b'%s %s HTTP/1.1' % (request.method, request.target)]
-    if context is not None:
-        replaced |= {header_names.key, header_names.customer}
-        if context.customer:
-            name = context.customer.encode()
-            lines.append(b'%s: %s' % (header_names.customer, name))
+    if customer:
+        lines.append(b'%s: %s' % (header_names.customer, customer.encode()))
     lines.extend(
         b'%s: %s' % header
         for header in end_to_end_headers(request.headers, replaced)
--- a/tests/edge/gateway/test_customers.py
+++ b/tests/edge/gateway/test_customers.py
@@ -232,13 +232,11 @@
 
     @in_loop
     async def test_headers_are_replaced(self) -> None:
-        """The caller's headers pass unchanged."""
-        await self.async_replies(SPOOFED)
+        """A host that does not know of customers yet passes on no key."""
+        await self.async_replies((*SPOOFED, KEY, 'X-Other: o'))
         received = self.searchers['s'].received_requests[0]
-        self.assertThat(
-            customer_headers(received),
-            Equals([header.lower() for header in SPOOFED]),
-        )
+        self.assertThat(customer_headers(received), Equals([]))
+        self.assertThat(received.head.lower(), Contains(b'x-other: o'))
 
 
 class RelayedCustomersTest(RelaysCase):
