A new leader hears of searchers before it rolls back for want of them

Cause: after the loss of all power beyond the deadline of a roll-out, the first leader knew of no searcher yet and rolled a target back at once, whose searchers were ready.

Change: for three seconds of its term, a leader without any ready searcher of the target leaves the roll-out undecided.

--- a/snipejunction/components/rollouts/const.py
+++ b/snipejunction/components/rollouts/const.py
@@ -36,6 +36,9 @@
 # Time after a switch within which each host in touch has settled and reported
 # so, in seconds; one that has not is lost.
 LOST_HOST_SECONDS: Final = 2.5
+# Time after which a new leader has heard of all searchers, in seconds: each
+# announces itself about once a second.
+SEARCHERS_SECONDS: Final = 3.0
 # Share of the duration after which no host delays the end of a switch.
 END_SHARE: Final = 0.95
 # Time from the deadline of an order within which the same order is a repeated
--- a/snipejunction/components/rollouts/systems/deciding.py
+++ b/snipejunction/components/rollouts/systems/deciding.py
@@ -16,10 +16,12 @@
     REPORT_INTERVAL_SECONDS,
     ROLLED_BACK,
     RUNNING,
+    SEARCHERS_SECONDS,
     SWITCHING,
 )
 from snipejunction.components.rollouts.judging import (
     BAD,
+    FINAL_SHARE,
     UNDECIDED,
     VERDICT_NAMES,
     Verdict,
@@ -68,7 +70,7 @@
         record, node.deployment.state.update_index, now
     )
     elapsed_share = (now - progress.started_at) / record.duration
-    verdict = _judge(record, evidence, elapsed_share, node)
+    verdict = _judge(record, evidence, elapsed_share, node, now)
     state, reason = ROLLED_BACK, verdict.reason
     if verdict.decision != BAD:
         if record.state == SWITCHING:
@@ -97,10 +99,15 @@
     evidence: list[RouteEvidence],
     elapsed_share: float,
     node: Node,
+    now: float,
 ) -> Verdict:
     if record.state == SWITCHING:
         return judge_alone(evidence)
-    return judge(evidence, elapsed_share, _is_target_ready(record, node))
+    is_ready = _is_target_ready(record, node)
+    if not is_ready and now < node.rollouts.led_since + SEARCHERS_SECONDS:
+        # Searchers may be ready that this leader has not heard of yet.
+        elapsed_share = min(elapsed_share, FINAL_SHARE)
+    return judge(evidence, elapsed_share, is_ready)
 
 
 def _has_reports(node: Node, now: float) -> bool:
--- a/tests/components/rollouts/test_deciding.py
+++ b/tests/components/rollouts/test_deciding.py
@@ -19,7 +19,11 @@
 )
 from snipejunction.components.rollouts.tables import HostReports
 from tests.components.deployment.harness import SEEDS
-from tests.components.rollouts.harness import SERVICE, make_cluster
+from tests.components.rollouts.harness import (
+    DURATION,
+    SERVICE,
+    make_cluster,
+)
 
 BAD_COUNTS = (60, 20, 700, 2)
 
@@ -142,6 +146,21 @@
         waited = self.cluster.now - led_since
         self.assertThat(waited >= 2 * REPORT_INTERVAL_SECONDS, Is(True))
 
+    def test_late_leader_without_searchers(self) -> None:
+        """A leader that has just started waits for searchers to be heard."""
+        self.cluster.run_beating(6)
+        for name in SEEDS:
+            self.cluster.crash(name)
+        self.cluster.run(DURATION)
+        for name in SEEDS:
+            self.cluster.start(name)
+        self.cluster.wait_leader()
+        led_since = self.cluster.leader().node.rollouts.led_since
+        self.cluster.run(led_since + REPORT_INTERVAL_SECONDS - self.cluster.now)
+        self.assertThat(self.state(), Equals(RUNNING))
+        self.cluster.run_beating(6)
+        self.assertThat(self.state(), Equals(COMPLETED))
+
     def test_minority(self) -> None:
         """Control hosts that are cut off decide nothing."""
         leader = self.cluster.leader().name
