Count what callers read while answers are added

Cause: a caller that reads steadily, but less than the answers that are added, was aborted after the idle time: only a shrinking buffer counted as reading.

Change: what is written raises the size that the buffer would have if nothing were read; anything below it counts as reading.

Result: SlowReaderTest.test_steady failed before, test_stalled passed before and after; tests of input bounds, caller connections and budgets pass (33).

--- a/snipejunction/edge/gateway/caller_connection.py
+++ b/snipejunction/edge/gateway/caller_connection.py
@@ -338,7 +338,7 @@
             transport.write(head)
             transport.write(body)
         if self._unread is not None:
-            self._unread.update()
+            self._unread.add(len(head) + len(body))
         if will_close:
             transport.close()
         elif self._queued and self._can_dispatch:
--- a/snipejunction/edge/gateway/unread_answers.py
+++ b/snipejunction/edge/gateway/unread_answers.py
@@ -34,10 +34,16 @@
         self._transport = transport
         self._refusals = refusals
         self._account = budget.open(self._abort)
+        # What the buffer would hold if nothing were read.
         self._unsent_bytes = 0
-        # Since when the buffer only grew.
+        # Since when nothing was read.
         self._since = now
 
+    def add(self, written: int) -> None:
+        """Account for an answer of ``written`` bytes."""
+        self._unsent_bytes += written
+        self.update()
+
     def update(self) -> None:
         """Account for what the buffer holds."""
         self._account.update(self._transport.get_write_buffer_size())
--- a/tests/edge/gateway/test_input_bounds.py
+++ b/tests/edge/gateway/test_input_bounds.py
@@ -4,7 +4,9 @@
 
 import asyncio
 from contextlib import suppress
+from unittest.mock import Mock
 
+from testtools import TestCase
 from testtools.matchers import Equals, HasLength, LessThan, StartsWith
 
 from snipejunction.edge.gateway.const import (
@@ -19,6 +21,8 @@
     LISTENER_CALLERS,
     ProcessBounds,
 )
+from snipejunction.edge.gateway.refusals import RefusalCounts
+from snipejunction.edge.gateway.unread_answers import UnreadAnswers
 from snipejunction.edge.receive_budget import ReceiveBudget
 from tests.edge import support
 from tests.edge.gateway.scripted import in_loop
@@ -182,6 +186,42 @@
             self.assertThat(self.server.refusals.take(), Equals({'unread': 1}))
 
 
+class SlowReaderTest(TestCase):
+    """Answers that wait for a caller that reads little."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.transport = Mock()
+        self.now = 0
+        self.unsent_bytes = 5000
+        self.transport.get_write_buffer_size = lambda: self.unsent_bytes
+        self.unread = UnreadAnswers(
+            self.transport,
+            ReceiveBudget('unread answers', MEBIBYTE, Mock()),
+            RefusalCounts(),
+            0,
+        )
+
+    def run_seconds(self, *, written: int, taken: int) -> None:
+        """Check every second while answers are written and read."""
+        for _ in range(30):
+            self.now += 1
+            self.unsent_bytes += written - taken
+            self.unread.add(written)
+            self.unread.check(self.now, 10)
+
+    def test_steady(self) -> None:
+        """A caller that reads stays, also if more is added than it reads."""
+        for taken in (1000, 400):
+            self.run_seconds(written=1000, taken=taken)
+        self.transport.abort.assert_not_called()
+
+    def test_stalled(self) -> None:
+        """A caller that reads nothing is closed, also if answers are added."""
+        self.run_seconds(written=1000, taken=0)
+        self.transport.abort.assert_called()
+
+
 class ProcessBoundsTest(ServerCase):
     """Bounds that follow from the machine."""
 
