Say which version a service lacks

Cause: once all searchers of a service's current version are gone, those of other versions get nothing, and the refusals only said that there was nobody to ask. Only an order of a roll-out helps, which nothing told the operator.

Change: a part that cannot be sent for this reason writes event 973 with the version of the service and those that its searchers have.

--- a/snipejunction/components/gateway/run.py
+++ b/snipejunction/components/gateway/run.py
@@ -57,6 +57,7 @@
 from snipejunction.components.gateway.upstreams import Upstream
 from snipejunction.components.gateway.versions import (
     count_sending,
+    explain_held_back,
     is_target,
     record_sending,
 )
@@ -252,7 +253,8 @@
         )
 
     def _explain_missing(self, part: Part, now: float) -> Iterator[Command]:
-        """Record that limits keep a part from being sent, if they do."""
+        """Record that limits or versions keep a part from being sent."""
+        yield from explain_held_back(self.request_id, part.service, self._table)
         upstreams = self._table.upstreams_by_service.get(part.service, {})
         limits = describe_limits(upstreams.values(), self._table, now)
         if limits:
--- a/snipejunction/components/gateway/versions.py
+++ b/snipejunction/components/gateway/versions.py
@@ -10,9 +10,10 @@
 from snipejunction.components.gateway.replies import Outcome
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.components.gateway.upstreams import Upstream
-from snipejunction.components.registration.const import READY, SILENT
+from snipejunction.components.registration.const import GONE, READY, SILENT
 from snipejunction.components.rollouts.const import (
     EVENT_REPLACED_RELEASED,
+    EVENT_VERSION_MISSING,
     SETTLE_SECONDS,
     SWITCHING,
 )
@@ -54,6 +55,26 @@
     return not use.allows(upstream.record.version)
 
 
+def explain_held_back(
+    request_id: str, service: str, table: GatewayTable
+) -> Iterator[LogEvent]:
+    """Log that all searchers of a service are of versions without an order."""
+    upstreams = [
+        upstream
+        for upstream in table.upstreams_by_service.get(service, {}).values()
+        if upstream.record.state != GONE
+    ]
+    if upstreams and all(is_held_back(known, table) for known in upstreams):
+        others = {upstream.record.version for upstream in upstreams}
+        yield LogEvent(
+            EVENT_VERSION_MISSING,
+            request=request_id,
+            service=service,
+            current=_version_use(service, table).current,
+            others=', '.join(sorted(others)),
+        )
+
+
 def is_target(upstream: Upstream, table: GatewayTable) -> bool:
     """Return whether a searcher is of the target of a running roll-out."""
     trial = table.rollouts.find_trial(upstream.record.service)
--- a/snipejunction/components/rollouts/const.py
+++ b/snipejunction/components/rollouts/const.py
@@ -130,3 +130,9 @@
     'roll-out {number}: this host has nothing left at replaced searchers of '
     '{service}',
 )
+EVENT_VERSION_MISSING: Final = EventKind(
+    973,
+    'warning',
+    'request {request}: {service} has no searcher of its version {current}; '
+    'those of {others} get nothing without a roll-out',
+)
--- a/tests/components/gateway/test_versions.py
+++ b/tests/components/gateway/test_versions.py
@@ -8,6 +8,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
+from snipejunction.commands import LogEvent
 from snipejunction.components.deployment.messages import DeploymentUpdate
 from snipejunction.components.gateway.choosing import choose_upstream
 from snipejunction.components.gateway.messages import PartsRequest
@@ -23,6 +24,7 @@
 )
 from snipejunction.components.rollouts.const import (
     COMPLETED,
+    EVENT_VERSION_MISSING,
     ROLLED_BACK,
     RUNNING,
     SWITCHING,
@@ -178,6 +180,45 @@
         self.assertThat(sent, Equals([1, 0, 0, 0]))
 
 
+class StrandedTest(VersionsCase):
+    """A service whose only searchers are of versions without an order."""
+
+    def events(self, current: str) -> list[LogEvent]:
+        """Return the events of a refused request about versions."""
+        for upstream in self.table.upstreams_by_service['s0'].values():
+            upstream.record.version = upstream.record.version or 'v1'
+        versions = {'s0': current}
+        list(self.table.rollouts.apply([], versions, 2, 0, is_first=False))
+        run = RequestRun('q', self.route, self.table, 10, 1)
+        return [
+            command
+            for command in run.start(1)
+            if isinstance(command, LogEvent)
+            and command.event is EVENT_VERSION_MISSING
+        ]
+
+    def test_missing(self) -> None:
+        """An event says which version lacks, and which ones there are."""
+        found = self.events('v9')
+        self.assertThat(
+            [event.fields for event in found],
+            Equals(
+                [
+                    {
+                        'request': 'q',
+                        'service': 's0',
+                        'current': 'v9',
+                        'others': 'v1, v2, v3',
+                    }
+                ]
+            ),
+        )
+
+    def test_present(self) -> None:
+        """Nothing is said of a service that has its version."""
+        self.assertThat(self.events('v2'), Equals([]))
+
+
 class RelayTest(VersionsCase):
     """A relay that is asked for parts of all versions."""
 
