--- a/snipejunction/components/quotas/account.py
+++ b/snipejunction/components/quotas/account.py
@@ -16,6 +16,7 @@
     MAX_RETRY_SECONDS,
     PAUSE_SECONDS,
     RENEWAL_SECONDS,
+    SPREAD_SECONDS,
     UNSETTLED_RETRY_SECONDS,
 )
 from snipejunction.components.quotas.messages import Level, Usage
@@ -62,7 +63,6 @@
 
     __slots__ = (
         '_epoch',
-        '_is_empty',
         '_own',
         '_retry_at',
         '_told',
@@ -80,8 +80,6 @@
         self._retry_at = 0.0
         self._told: Level | None = None
         self._told_at = 0.0
-        # Whether the home's bucket held no request when it was told last.
-        self._is_empty = False
         self.total = 0
         self.base = 0
         # Number and total of the last report.
@@ -107,7 +105,6 @@
         if level is not None:
             self._told = level
             self._told_at = now
-            self._is_empty = level.level < 1
             self.base = level.total
         elif self.reported[0] == number:
             self.forget_level()
@@ -153,12 +150,8 @@
         """Decide on a request under this host's own part, a share."""
         last_used = self._own.filled_at
         if last_used < lease_ended:
-            level = min(self._own.level, 1)
-            if now > last_used + PAUSE_SECONDS:
-                was_empty = self._is_empty and (
-                    lease_ended < self._told_at + PAUSE_SECONDS
-                )
-                level = 0 if was_empty else 1
+            is_rested = now > last_used + PAUSE_SECONDS
+            level = 1 if is_rested else min(self._own.level, 1)
             self._own = TokenBucket(level, lease_ended)
         self._own.fill(customer, share, now)
         level = self._own.level
@@ -201,18 +194,21 @@
         return min(self._told.level + rate * (now - self._told_at), capacity)
 
     def _wait(self, customer: Customer, level: float, now: float) -> float:
-        if self._told is None or level >= 1:
+        if self._told is None:
             return AHEAD_SECONDS
         rate = min(self._told.rate, customer.rate)
         if not rate:
             return UNSETTLED_RETRY_SECONDS
-        return self._slot((1 - level) / rate, self._told.users / rate, now)
+        # With a request in the bucket, only an answer has to come in.
+        wait = AHEAD_SECONDS if level >= 1 else (1 - level) / rate
+        return self._slot(wait, self._told.users / rate, now)
 
     def _slot(self, wait: float, spacing: float, now: float) -> float:
         """Return the time until the next free time for a repeat."""
-        due = max(now + wait, self._retry_at)
-        if due > now + MAX_RETRY_SECONDS:
-            return MAX_RETRY_SECONDS
+        earliest = now + min(wait, MAX_RETRY_SECONDS)
+        due = max(earliest, self._retry_at)
+        if due > earliest + SPREAD_SECONDS:
+            return earliest + SPREAD_SECONDS - now
         self._retry_at = due + spacing
         return due - now
 
--- a/snipejunction/components/quotas/const.py
+++ b/snipejunction/components/quotas/const.py
@@ -49,9 +49,10 @@
 # Time after which a request is told to come again while the home has no part
 # to use, in seconds.
 UNSETTLED_RETRY_SECONDS: Final = 1.0
-# Upper bound of the time after which a refused request is told to come again,
-# in seconds.
+# Upper bounds of the time after which a refused request is told to come again,
+# and of what is added to it while others wait, in seconds.
 MAX_RETRY_SECONDS: Final = 5.0
+SPREAD_SECONDS: Final = 2.0
 # Bits of the random numbers that tell apart restarted hosts.
 EPOCH_BITS: Final = 40
 # Rendezvous key of the home.
--- a/snipejunction/components/quotas/quotas.py
+++ b/snipejunction/components/quotas/quotas.py
@@ -108,10 +108,7 @@
 
 
 class Quotas:
-    """Decides on requests and exchanges reports with the home.
-
-    ``admitted`` and ``refused`` count requests of customers with a quota.
-    """
+    """Decides on requests and exchanges reports with the home."""
 
     __slots__ = (
         '_account',
@@ -120,9 +117,7 @@
         '_lease',
         '_report_at',
         '_table',
-        'admitted',
         'home',
-        'refused',
     )
 
     def __init__(self, table: GatewayTable, random: Random) -> None:
@@ -134,8 +129,6 @@
         self._demand_at = -NEVER
         self._is_urgent = False
         self.home = QuotaHome()
-        self.admitted = 0
-        self.refused = 0
 
     @property
     def home_name(self) -> str | None:
@@ -186,10 +179,6 @@
         else:
             decision = spending.spend_ahead()
         self._is_urgent = self._is_urgent or spending.is_urgent(customer, now)
-        if decision.is_admitted:
-            self.admitted += 1
-        else:
-            self.refused += 1
         return decision
 
     def give_back(self, name: str, now: float) -> None:
--- a/tests/components/quotas/test_quotas.py
+++ b/tests/components/quotas/test_quotas.py
@@ -238,6 +238,18 @@
             fleet.request(one_host)
         self.assertThat(len(fleet.admitted), Equals(22))
 
+    def test_repeats_are_spread(self) -> None:
+        """Each further refusal names a later time, up to a bound."""
+        fleet = self.open(10, 1)
+        fleet.request(one_host)
+        fleet.run(0.1)
+        quotas = fleet.hosts['h3'].quotas
+        decisions = [quotas.admit('c', fleet.now) for _ in range(100)]
+        waits = [decision.wait for decision in decisions[10:]]
+        self.assertThat(waits, Equals(sorted(waits)))
+        self.assertThat(waits[5] - waits[0], GreaterThan(0.4))
+        self.assertThat(waits[-1], LessThan(3))
+
     def test_removed_customer(self) -> None:
         """Nothing is kept of a customer that a newer document removes."""
         fleet = self.open(1, 5)
--- a/tests/edge/gateway/test_customers.py
+++ b/tests/edge/gateway/test_customers.py
@@ -6,7 +6,14 @@
 from contextlib import AsyncExitStack
 from hashlib import sha256
 
-from testtools.matchers import Contains, Equals, Not, StartsWith
+from testtools.matchers import (
+    Contains,
+    Equals,
+    GreaterThan,
+    LessThan,
+    Not,
+    StartsWith,
+)
 
 from snipejunction.components.deployment.messages import DeploymentUpdate
 from snipejunction.components.gateway.document import Customer, Document
@@ -245,3 +252,65 @@
             self.assertThat(
                 customer_headers(received), Equals(['x-customer: large'])
             )
+
+
+class QuotasTest(RelaysCase):
+    """A customer with a quota at two hosts."""
+
+    def read_document(self, content: bytes) -> Document:
+        document = super().read_document(content)
+        customer = make_customer('large', 'k-large', rate=20, burst=1)
+        return Document(
+            1, document.routes, document.services, LIMITS, (customer,)
+        )
+
+    async def async_settle(self) -> None:
+        """Wait until both hosts have a lease and the bucket is full."""
+        for host in self.hosts:
+            host.table.control_search.known_at = 0
+            host.relays.open_streams()
+        while not all(self.lease_of(host) for host in self.hosts):
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.5)
+
+    def lease_of(self, host) -> float:
+        """Return 1 for a host with a lease."""
+        return host.relays.quotas.gauges()['quota_lease'][1]
+
+    @in_loop
+    async def test_over_the_quota(self) -> None:
+        """Both hosts together admit the burst and the rate, no more."""
+        replies = []
+        async with AsyncExitStack() as stack:
+            await self.async_open(stack, async_answer)
+            await self.async_settle()
+            loop = asyncio.get_running_loop()
+            started = loop.time()
+            for number in range(24):
+                host = self.hosts[number % 2]
+                address = ('127.0.0.1', host.caller_server.port)
+                replies.append(await async_call(address, request(extra=(KEY,))))
+            elapsed = loop.time() - started
+            metrics = self.hosts[0].metrics_text()
+        admitted = sum(b' 200 OK' in reply for reply in replies)
+        # The bucket holds 3 requests, and each host may be one ahead.
+        self.assertThat(admitted, LessThan(3 + 20 * elapsed + 2 + 1))
+        self.assertThat(admitted, GreaterThan(2))
+        for reply in replies:
+            if b' 200 OK' not in reply:
+                self.assertThat(reply, StartsWith(b'HTTP/1.1 429'))
+                self.assertThat(reply, Contains(b'retry-after: '))
+        found = b'quota_requests_total{customer="large",decision="admitted"}'
+        self.assertThat(metrics, Contains(found))
+
+    @in_loop
+    async def test_given_back(self) -> None:
+        """Requests that reach no searcher do not use up the quota."""
+        async with AsyncExitStack() as stack:
+            await self.async_open(stack, async_answer)
+            await self.async_settle()
+            host = self.hosts[0]
+            host.table.upstreams_by_service.clear()
+            for _ in range(40):
+                reply = await async_call(self.address, request(extra=(KEY,)))
+                self.assertThat(reply, StartsWith(b'HTTP/1.1 503'))
