A status outside of 200 to 599 is no answer

Cause: the parser takes any three digits as a status, and what it took was an answer: callers got "HTTP/1.1 0 Unknown" with the searcher's signature and body.

Change: such a status, or a version other than 1.0 and 1.1, ends the attempt as lost (it may have run) and closes the connection; so do a relay's report and a response to a sub-request of an owner. The attempt is repeated elsewhere within the budget, else the caller gets 502. A switch of the protocol is such an end, too, instead of an exception in the event loop.

The test of another searcher gave the budget no room and failed after the fix, too; it now records earlier requests. With room it passes before the fix, as a failure with status 000 was already repeated.

--- a/snipejunction/components/gateway/replies.py
+++ b/snipejunction/components/gateway/replies.py
@@ -9,7 +9,10 @@
 
 _FIRST_SUCCESS: Final = 200
 _FIRST_REDIRECT: Final = 300
+_AFTER_LAST_STATUS: Final = 600
 SUCCESSES: Final = range(_FIRST_SUCCESS, _FIRST_REDIRECT)
+# Bytes with any other status are no answer.
+FINAL_STATUSES: Final = range(_FIRST_SUCCESS, _AFTER_LAST_STATUS)
 
 
 class Reply(Record):
--- a/snipejunction/edge/gateway/relay_calls.py
+++ b/snipejunction/edge/gateway/relay_calls.py
@@ -13,7 +13,12 @@
     PartsResponse,
 )
 from snipejunction.components.gateway.parts import Attempt, SendPartsToRelay
-from snipejunction.components.gateway.replies import Outcome, OutcomeKind, Reply
+from snipejunction.components.gateway.replies import (
+    FINAL_STATUSES,
+    Outcome,
+    OutcomeKind,
+    Reply,
+)
 from snipejunction.edge.peers import PeerTable
 from snipejunction.timers import NEVER
 
@@ -137,7 +142,11 @@
     with_records = [entry for entry in message.reports if entry.has_records]
     for report in message.reports:
         reply = None
-        if report.status:
+        is_answer = report.status in FINAL_STATUSES
+        if report.fate == OutcomeKind.ANSWERED.value and not is_answer:
+            yield report, _lose_odd_status(report)
+            continue
+        if is_answer:
             is_first = bool(with_records) and report is with_records[0]
             reply = Reply(
                 report.status,
@@ -156,3 +165,11 @@
                 report.stated_limit,
             ),
         )
+
+
+def _lose_odd_status(report: PartReport) -> Outcome:
+    return Outcome(
+        OutcomeKind.LOST,
+        detail=f'no answer: status {report.status:03d} from the relay',
+        seconds=report.seconds,
+    )
--- a/snipejunction/edge/gateway/searcher_connection.py
+++ b/snipejunction/edge/gateway/searcher_connection.py
@@ -8,7 +8,12 @@
 
 import httptools
 
-from snipejunction.components.gateway.replies import Outcome, OutcomeKind, Reply
+from snipejunction.components.gateway.replies import (
+    FINAL_STATUSES,
+    Outcome,
+    OutcomeKind,
+    Reply,
+)
 from snipejunction.edge.gateway.const import (
     DEFAULT_IDLE_SECONDS,
     IDLE_MARGIN_SECONDS,
@@ -33,6 +38,7 @@
 _CONTINUE: Final = 100
 _OK: Final = 200
 _INTERIM: Final = range(_CONTINUE, _OK)
+_VERSIONS: Final = frozenset(('1.0', '1.1'))
 _TIMEOUT_FIELD: Final = b'timeout='
 
 
@@ -133,6 +139,9 @@
         except httptools.HttpParserError as error:
             self.close(f'malformed answer: {error}')
             return
+        except httptools.HttpParserUpgrade:
+            self.close('switch to another protocol')
+            return
         finally:
             self._is_parsing = False
         if self.is_busy:
@@ -197,6 +206,10 @@
         if status in _INTERIM:
             self._reset_reply()
             return
+        version = self._parser.get_http_version()
+        if status not in FINAL_STATUSES or version not in _VERSIONS:
+            self.close(f'no answer: HTTP/{version} with status {status:03d}')
+            return
         echoed = self._header(self._header_names.request_id)
         if echoed and echoed != self._request_id:
             # A late answer to an earlier request; the one to this request
--- a/snipejunction/edge/upstream_protocol.py
+++ b/snipejunction/edge/upstream_protocol.py
@@ -15,6 +15,7 @@
     ENDED_DEADLINE,
     ENDED_ERROR,
     ENDED_LEAVING,
+    ENDED_LOST,
     ENDED_SNAPSHOT_NOT_HELD,
     ENDED_OK,
     ENDED_SHED,
@@ -47,6 +48,9 @@
 
 STATUS_OK: Final = 200
 STATUS_REFUSED: Final = 503
+_AFTER_LAST_STATUS: Final = 600
+# A response with any other status is none.
+_FINAL_STATUSES: Final = range(STATUS_OK, _AFTER_LAST_STATUS)
 
 # Refusal codes of a response with status 503. The first three state that the
 # request did not run, the others that it may have run.
@@ -127,6 +131,8 @@
 ) -> DispatchEnded:
     """Return the result of a dispatch from an upstream's response."""
     boot_id = headers.get(HEADER_BOOT, '')
+    if status not in _FINAL_STATUSES:
+        return DispatchEnded(dispatch_id, ENDED_LOST, boot_id=boot_id)
     try:
         retry_after = int(headers.get(HEADER_RETRY_AFTER, '0'))
         snapshot = parse_snapshot(headers.get(HEADER_SNAPSHOT, ''))
--- a/snipejunction/edge/upstreams.py
+++ b/snipejunction/edge/upstreams.py
@@ -312,9 +312,13 @@
         if payload is None:
             dispatch.connection.abort()
             return DispatchEnded(dispatch_id, ENDED_ERROR)
-        return parse_response(
+        ended = parse_response(
             dispatch_id, response.status, response.headers, payload
         )
+        if ended.outcome == ENDED_LOST:
+            # What follows on the connection is no response either.
+            dispatch.connection.abort()
+        return ended
 
     async def _async_cancel(
         self,
--- a/tests/edge/gateway/test_malformed_answers.py
+++ b/tests/edge/gateway/test_malformed_answers.py
@@ -37,6 +37,7 @@
 from tests.edge.gateway.test_gateway_host import HostCase
 from tests.edge.gateway.test_searcher_pool import PoolCase
 
+EARLIER_REQUESTS = 20
 ODD_STATUSES = ('000', '099', '600', '999')
 INTERIM = b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n'
 LENGTH = b'Content-Length: 4\r\n\r\nbody'
@@ -240,6 +241,10 @@
             update = SearcherUpdate([record])
             update.sender = 'c'
             host.link.submit(update)
+            # Earlier requests leave room in the budget for repeats.
+            now = asyncio.get_running_loop().time()
+            for _ in range(EARLIER_REQUESTS):
+                host.table.budget('s').record_request(now)
             reply = await async_call(self.address, request())
             self.assertThat(reply, StartsWith(b'HTTP/1.1 200'))
             self.assertThat(script.count, Equals(2))
