--- a/snipejunction/cli/check.py
+++ b/snipejunction/cli/check.py
@@ -23,6 +23,8 @@
 
 def run_check(arguments: argparse.Namespace) -> int:
     """Validate each file as host settings or as shared documents."""
+    if arguments.against is not None:
+        return _run_check_against(arguments)
     report = {path: check_file(path) for path in arguments.files}
     if arguments.json:
         print_json(report)
@@ -79,6 +81,13 @@
         raise SettingsError(path, f'invalid JSON: {error}') from None
 
 
+def _run_check_against(arguments: argparse.Namespace) -> int:
+    # The parsers of documents are not needed for anything else here.
+    from snipejunction.cli import check_against  # noqa: WPS433
+
+    return check_against.run_check_against(arguments)
+
+
 def _check(path: str) -> None:
     content = read_json(path)
     if isinstance(content, dict) and _DOCUMENTS in content:
--- a/snipejunction/cli/parser.py
+++ b/snipejunction/cli/parser.py
@@ -57,6 +57,18 @@
     check = commands.add_parser('check', help='check settings files')
     check.add_argument('files', nargs='+', metavar='FILE')
     check.add_argument('--json', action='store_true')
+    check.add_argument(
+        '--against',
+        metavar='FILE',
+        help='take the files as deployment documents, and this one as the '
+        'version in force; ends with 1 for remarks and 2 for errors',
+    )
+    check.add_argument(
+        '--region',
+        action='append',
+        default=[],
+        help='a region that has a data centre (default: all may have one)',
+    )
     check.set_defaults(run=run_check)
     explain = commands.add_parser(
         'explain',
