Show no digests of keys when documents are compared

Customers without keys, and whether requests need keys at all, were left out.

Change: changed keys are counted; all customers are compared, in the order of the document; the need of keys is a change of its own.

--- a/snipejunction/components/gateway/document_review.py
+++ b/snipejunction/components/gateway/document_review.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterator, Mapping
+from typing import Final
 
 from snipejunction.components.gateway.document import (
     CallerLimits,
@@ -12,6 +13,9 @@
 )
 from snipejunction.helpers.records import Record, field_names
 
+# Field of customers that holds digests.
+_KEYS: Final = 'key_digests'
+
 
 class Remark(Record):
     """A remark on the entry of a document at ``path``."""
@@ -44,7 +48,7 @@
         if service not in used:
             yield Remark(f'services/{service}', 'no route uses it')
     yield from _review_limits(document.limits)
-    for customer in set(document.customers_by_digest.values()):
+    for customer in document.customers.values():
         path = f'customers/{customer.name}'
         if customer.burst and not customer.rate:
             yield Remark(path, 'a burst without a rate has no effect')
@@ -68,9 +72,10 @@
         {route.name: route for route in new.routes},
     )
     yield from _compare_entries('services', old.services, new.services)
-    yield from _compare_entries(
-        'customers', _customers_by_name(old), _customers_by_name(new)
-    )
+    if old.needs_keys != new.needs_keys:
+        needed = 'keys' if new.needs_keys else 'no keys'
+        yield Remark('customers', f'requests need {needed}')
+    yield from _compare_entries('customers', old.customers, new.customers)
     yield from _compare_fields('limits', old.limits, new.limits)
 
 
@@ -111,13 +116,6 @@
         yield Remark('limits', 'no time between requests')
 
 
-def _customers_by_name(document: Document) -> dict[str, Customer]:
-    return {
-        customer.name: customer
-        for customer in document.customers_by_digest.values()
-    }
-
-
 def _compare_entries(
     path: str, old: Mapping[str, Record], new: Mapping[str, Record]
 ) -> Iterator[Remark]:
@@ -132,5 +130,17 @@
 def _compare_fields(path: str, old: Record, new: Record) -> Iterator[Remark]:
     for name in field_names(type(new)):
         before, after = getattr(old, name), getattr(new, name)
-        if before != after:
+        if name == _KEYS:
+            yield from _compare_keys(path, before, after)
+        elif before != after:
             yield Remark(f'{path}/{name}', f'{before!r} becomes {after!r}')
+
+
+def _compare_keys(
+    path: str, old: Collection[bytes], new: Collection[bytes]
+) -> Iterator[Remark]:
+    """Yield how many keys differ: nothing that is made from keys is shown."""
+    removed = len(set(old).difference(new))
+    added = len(set(new).difference(old))
+    if removed or added:
+        yield Remark(f'{path}/keys', f'{removed} removed, {added} added')
--- a/tests/cli/test_check_against.py
+++ b/tests/cli/test_check_against.py
@@ -118,3 +118,37 @@
         }
         self.assertThat(found, Equals(expected))
         self.assertThat(code, Equals(0))
+
+    def test_changed_keys(self) -> None:
+        """Changes of keys are counted; nothing made from a key is printed."""
+        customer = {'name': 'large', 'apiKeys': ['k-1', 'k-2']}
+        empty = {'name': 'empty', 'apiKeys': []}
+        in_force = {**DOCUMENT, 'tenants': [customer]}
+        self.in_force.write_text(json.dumps(in_force))
+        customers = [{**customer, 'apiKeys': ['k-1', 'k-3', 'k-4']}, empty]
+        self.changed['tenants'] = customers
+        _, printed = self.check()
+        self.assertThat(
+            printed.splitlines(),
+            Equals(
+                [
+                    f'{self.file}: change: customers/empty: added',
+                    f'{self.file}: change: customers/large/keys: 1 removed, '
+                    '2 added',
+                ]
+            ),
+        )
+
+    def test_list_of_customers(self) -> None:
+        """A list of customers, even an empty one, asks for keys."""
+        self.changed['tenants'] = []
+        _, printed = self.check()
+        self.assertThat(
+            printed, Contains('change: customers: requests need keys')
+        )
+        self.in_force.write_text(json.dumps({**DOCUMENT, 'tenants': []}))
+        self.changed.pop('tenants')
+        _, printed = self.check()
+        self.assertThat(
+            printed, Contains('change: customers: requests need no keys')
+        )
