A part at a relay is not late before the relay responds

Cause: attempts without an outcome count as bad answers of a roll-out once they are slower than the bound. A relay merges its parts, so that the asking host hears of a fast part only with the first response; a report made before counted it as bad for good. That is an error against the version with more searchers in other data centres.

Change: such an attempt is late only after the time within which the relay sends its first response.

--- a/snipejunction/components/gateway/run.py
+++ b/snipejunction/components/gateway/run.py
@@ -318,6 +318,8 @@
         for attempt in attempts:
             attempt.relay = relay
             attempt.min_hedge_delay = merge_after + delay
+            if attempt.sending is not None:
+                attempt.sending.silent_seconds = attempt.min_hedge_delay
         return SendPartsToRelay(
             relay,
             attempts,
--- a/snipejunction/components/rollouts/evidence.py
+++ b/snipejunction/components/rollouts/evidence.py
@@ -28,10 +28,17 @@
     ``is_target`` is whether it goes to the target. The time that a searcher
     takes while it ``is_cold`` tells nothing of its version. ``is_counted`` is
     set once the attempt is part of the evidence. ``sent_at`` is in monotonic
-    seconds.
+    seconds; a relay is silent about its answer for ``silent_seconds``.
     """
 
-    __slots__ = ('is_cold', 'is_counted', 'is_target', 'route', 'sent_at')
+    __slots__ = (
+        'is_cold',
+        'is_counted',
+        'is_target',
+        'route',
+        'sent_at',
+        'silent_seconds',
+    )
 
     def __init__(
         self, route: str, sent_at: float, *, is_target: bool, is_cold: bool
@@ -42,6 +49,7 @@
         self.is_target = is_target
         self.is_cold = is_cold
         self.is_counted = False
+        self.silent_seconds = 0.0
 
 
 class Evidence:
