Quotas: use parts while lists of hosts are incomplete, and while the home is silent

Change: while lists are incomplete, as many hosts count as all data centres may have; a host goes ahead by its own part while the home is silent; a new bucket holds up to five requests.

--- a/snipejunction/components/quotas/account.py
+++ b/snipejunction/components/quotas/account.py
@@ -117,18 +117,25 @@
         self._told = None
 
     def spend_shared(
-        self, customer: Customer, now: float, *, is_steady: bool
+        self,
+        customer: Customer,
+        silent_part: float,
+        now: float,
+        *,
+        is_steady: bool,
     ) -> Decision:
         """Decide on a request under the quota that the home keeps.
 
-        ``is_steady`` means that the home has answered all the time.
+        ``silent_part`` is what came in for this host since the home was heard
+        last, in seconds of the whole rate. ``is_steady`` means that the home
+        has answered all the time.
         """
         level = self._expected_level(customer, now)
         users = 1 if self._told is None else self._told.users
         ahead = self.total - self.base
-        most_ahead = 0.0
+        most_ahead = customer.rate * silent_part
         if is_steady and not self.is_fresh(now):
-            most_ahead = customer.rate * AHEAD_SECONDS
+            most_ahead += customer.rate * AHEAD_SECONDS
         wait = 0.0
         if level < 1 or (level / users - ahead < 1 and ahead > most_ahead):
             wait = self._wait(customer, level, now)
--- a/snipejunction/components/quotas/const.py
+++ b/snipejunction/components/quotas/const.py
@@ -39,6 +39,9 @@
 # to which they are not reduced, in requests per second.
 OUT_OF_TOUCH_SHARE: Final = 0.2
 OUT_OF_TOUCH_RATE: Final = 2.0
+# Requests that the bucket of a home holds which does not know what an earlier
+# home gave: the error of a lost home is on the side of the customers.
+NEW_BUCKET_REQUESTS: Final = 5.0
 # How long a host counts as one that uses a customer, in seconds.
 USER_SECONDS: Final = 1.0
 # Pause after which the bucket of a host's own part starts anew, and how long
--- a/snipejunction/components/quotas/home.py
+++ b/snipejunction/components/quotas/home.py
@@ -6,9 +6,14 @@
 
 from snipejunction.components.gateway.document import Customer
 from snipejunction.components.gateway.limit_sharing import LimitSharing
-from snipejunction.components.quotas.bucket import TokenBucket, usable_share
+from snipejunction.components.quotas.bucket import (
+    TokenBucket,
+    capacity_of,
+    usable_share,
+)
 from snipejunction.components.quotas.const import (
     CESSION_SECONDS,
+    NEW_BUCKET_REQUESTS,
     NOT_REPORTED,
     REPORTER_SECONDS,
     USER_SECONDS,
@@ -99,22 +104,24 @@
         message: QuotaUsage,
         customers: Mapping[str, Customer],
         sharing: LimitSharing,
+        host_count: int,
         now: float,
         *,
-        is_settled: bool = True,
         is_in_touch: bool = True,
     ) -> QuotaLevels:
         """Take what a host admitted and answer with the levels.
 
-        Parts are used only if ``is_settled``, and less of them if this host
+        Parts are used unless ``host_count`` is 0, and less of them if this host
         is not ``is_in_touch`` and lacks the part of any other one.
         """
         reporter = self._reporters.setdefault(message.sender, _Reporter())
         reporter.seen_at = now
-        if is_settled and 0 < message.echo <= now:
+        if host_count and 0 < message.echo <= now:
             ceded_until = message.echo + CESSION_SECONDS
             reporter.ceded_until = max(reporter.ceded_until, ceded_until)
-        self._update_share(customers, sharing, now, is_in_touch=is_in_touch)
+        self._update_share(
+            customers, sharing, host_count, now, is_in_touch=is_in_touch
+        )
         levels = list(self._take(message, reporter, customers, now))
         return QuotaLevels(message.number, now, levels)
 
@@ -178,7 +185,8 @@
     def _fill_bucket(self, customer: Customer, now: float) -> _SharedBucket:
         bucket = self._buckets.get(customer.name)
         if bucket is None:
-            bucket = _SharedBucket(0, self._since)
+            level = min(NEW_BUCKET_REQUESTS, capacity_of(customer))
+            bucket = _SharedBucket(level, self._since)
             self._buckets[customer.name] = bucket
         bucket.fill(customer, self._share_of(customer), now)
         return bucket
@@ -191,6 +199,7 @@
         self,
         customers: Mapping[str, Customer],
         sharing: LimitSharing,
+        host_count: int,
         now: float,
         *,
         is_in_touch: bool,
@@ -202,7 +211,7 @@
             now < reporter.ceded_until and sharing.includes(name)
             for name, reporter in self._reporters.items()
         )
-        share = ceded / max(sharing.host_count, 1)
+        share = ceded / max(host_count, 1)
         if (share, is_in_touch) == (self._share, self._is_in_touch):
             return
         for name, bucket in list(self._buckets.items()):
--- a/snipejunction/components/quotas/quotas.py
+++ b/snipejunction/components/quotas/quotas.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from snipejunction.commands import Command, LogEvent, SendPeer
+from snipejunction.components.deployment.const import ADVERTISED_HOSTS
 from snipejunction.components.gateway.document import Customer
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.components.quotas.account import Decision, QuotaAccount
@@ -72,6 +73,11 @@
         is_in_contact = now <= self._answered_at + CONTACT_SECONDS
         return is_in_contact and now >= self._begun_at + STEADY_SECONDS
 
+    def silent_seconds(self, now: float) -> float:
+        """Return how long the home has been out of contact, in seconds."""
+        silent = now - self._answered_at
+        return silent if silent > CONTACT_SECONDS else 0
+
     def begin(self, home: str | None) -> None:
         """Turn to another home once the lease has ended."""
         self.home = home
@@ -165,12 +171,15 @@
         sharing = self._table.sharing
         if self._lease.is_valid(now):
             decision = spending.spend_shared(
-                customer, now, is_steady=self._lease.is_steady(now)
+                customer,
+                self._silent_part(now),
+                now,
+                is_steady=self._lease.is_steady(now),
             )
-        elif sharing.has_share and self._is_settled(now):
+        elif sharing.has_share and self._host_count(now):
             share = usable_share(
                 customer,
-                1 / sharing.host_count,
+                1 / self._host_count(now),
                 is_in_touch=self._is_in_touch(now),
             )
             decision = spending.spend_own(
@@ -270,8 +279,8 @@
             message,
             self._customers(),
             self._table.sharing,
+            self._host_count(now),
             now,
-            is_settled=self._is_settled(now),
             is_in_touch=self._is_in_touch(now),
         )
 
@@ -279,9 +288,30 @@
         since = self._table.control_search.since
         return since is None or now < since + OUT_OF_TOUCH_SECONDS
 
-    def _is_settled(self, now: float) -> bool:
+    def _host_count(self, now: float) -> int:
+        """Return the number of parts of each quota, 0 while it is unknown.
+
+        Lists are incomplete while many hosts start, so that for some time as
+        many hosts count as all data centres may have.
+        """
         known_at = self._table.control_search.known_at
-        return known_at is not None and now >= known_at + SETTLE_SECONDS
+        if known_at is None:
+            return 0
+        count = self._table.sharing.host_count
+        if now >= known_at + SETTLE_SECONDS:
+            return max(count, 1)
+        expected = ADVERTISED_HOSTS * len(self._table.regions)
+        return max(count, expected) if expected else 0
+
+    def _silent_part(self, now: float) -> float:
+        """Return the seconds for which the home has left out this host's part.
+
+        They are those without an answer, as a share of the whole quotas.
+        """
+        host_count = self._host_count(now)
+        if not host_count or not self._table.sharing.has_share:
+            return 0
+        return self._lease.silent_seconds(now) / host_count
 
     def _is_reporting(self, now: float) -> bool:
         customers = self._customers().values()
