Quotas: owe the next home nothing that the last one or the own part allowed

Cause: a new home charged its empty bucket with all that hosts had admitted since the last answer of the lost one, though that was within the level of the lost home and their own parts. Change: a host that turns to another home settles with the last one; what went ahead without an answer uses up its own part.

--- a/snipejunction/components/quotas/account.py
+++ b/snipejunction/components/quotas/account.py
@@ -68,6 +68,7 @@
         '_retry_at',
         '_told',
         '_told_at',
+        '_unanswered',
         'base',
         'is_wanted',
         'reported',
@@ -81,6 +82,8 @@
         self._retry_at = 0.0
         self._told: Level | None = None
         self._told_at = 0.0
+        # Requests that the last home did not answer.
+        self._unanswered = 0
         self.total = 0
         self.base = 0
         # Number and total of the last report.
@@ -106,6 +109,7 @@
         if level is not None:
             self._told = level
             self._told_at = now
+            self._unanswered = 0
             if level.total != NOT_REPORTED:
                 self.base = level.total
         elif self.reported[0] == number:
@@ -116,6 +120,15 @@
         """Forget the level, because another home keeps the bucket."""
         self._told = None
 
+    def settle(self) -> None:
+        """Owe the next home nothing of what was admitted before it.
+
+        That was within the level of the last home and this host's own part.
+        """
+        self.forget_level()
+        self._unanswered = self.total - self.base
+        self.base = self.total
+
     def spend_shared(
         self,
         customer: Customer,
@@ -161,7 +174,9 @@
         if last_used < lease_ended:
             is_rested = now > last_used + PAUSE_SECONDS
             level = 1 if is_rested else min(self._own.level, 1)
-            self._own = TokenBucket(level, lease_ended)
+            # What was admitted without an answer has used up the own part.
+            level -= max(self._unanswered, self.total - self.base)
+            self._own = TokenBucket(max(level, 0), lease_ended)
         self._own.fill(customer, share, now)
         level = self._own.level
         wait = 0.0
@@ -241,6 +256,11 @@
             self.spendings[customer] = spending
         return spending
 
+    def settle(self) -> None:
+        """Owe the next home nothing of what was admitted before it."""
+        for spending in self.spendings.values():
+            spending.settle()
+
     def make_usages(self, number: int) -> list[Usage]:
         """Return the entries of a report."""
         return [
--- a/snipejunction/components/quotas/quotas.py
+++ b/snipejunction/components/quotas/quotas.py
@@ -75,8 +75,7 @@
 
     def silent_seconds(self, now: float) -> float:
         """Return how long the home has been out of contact, in seconds."""
-        silent = now - self._answered_at
-        return silent if silent > CONTACT_SECONDS else 0
+        return max(now - self._answered_at - RENEWAL_SECONDS, 0)
 
     def begin(self, home: str | None) -> None:
         """Turn to another home once the lease has ended."""
@@ -220,8 +219,10 @@
                 home=chosen or '',
                 previous=self._lease.home or '',
             )
+            # Before the first home, requests were on nobody's account.
+            if self._lease.home is not None:
+                self._account.settle()
             self._lease.begin(chosen)
-            self._forget_levels()
             self._report_at = -NEVER
         if now >= self.next_due(now):
             yield from self._report(now)
--- a/tests/components/quotas/fleet.py
+++ b/tests/components/quotas/fleet.py
@@ -29,10 +29,12 @@
 class Host:
     """One entry host; ``group`` tells the side of a cut that it is on."""
 
-    def __init__(self, name: str, seed: int, now: float) -> None:
+    def __init__(
+        self, name: str, seed: int, now: float, regions: dict[str, str]
+    ) -> None:
         self.name = name
         self.table = GatewayTable(
-            name, 'd', {}, RepeatLimits(0, 0, 10), Random(seed), now
+            name, 'd', regions, RepeatLimits(0, 0, 10), Random(seed), now
         )
         self.table.control_search.since = None
         self.quotas = Quotas(self.table, Random(seed))
@@ -44,8 +46,11 @@
 class QuotaFleet:
     """Hosts ``h0`` and so on; ``log`` holds each request and its fate."""
 
-    def __init__(self, hosts: int, seed: int = 1) -> None:
+    def __init__(
+        self, hosts: int, seed: int = 1, data_centres: tuple[str, ...] = ()
+    ) -> None:
         self.random = Random(seed)
+        self._regions = dict.fromkeys(data_centres, 'r')
         self.now = 100.0
         self._events: list[tuple] = []
         self._numbers = itertools.count()
@@ -90,7 +95,7 @@
 
     def start(self, name: str) -> None:
         """Start a host that knows no other one yet."""
-        host = Host(name, self.random.randrange(10**9), self.now)
+        host = Host(name, self.random.randrange(10**9), self.now, self._regions)
         self.hosts[name] = host
         self._install(host)
         self._expire(host)
--- a/tests/components/quotas/test_quotas.py
+++ b/tests/components/quotas/test_quotas.py
@@ -232,6 +232,35 @@
             self.assert_within(fleet)
             self.assertThat(len(fleet.admitted), GreaterThan(rate * 30))
 
+    def test_below_the_quota_after_a_restart(self) -> None:
+        """All hosts restart under six tenths of the rate, at all hosts.
+
+        They know the data centres from their settings, and the lists of hosts
+        are incomplete at first.
+        """
+        for rate, burst in ((30, 30), (9, 9), (5, 5)):
+            fleet = QuotaFleet(HOSTS, data_centres=tuple('abcdef'))
+            fleet.set_quota(make_customer(rate, burst))
+            fleet.run(20)
+            fleet.send(rate * 0.6, 10, all_hosts)
+            fleet.restart_all()
+            since = fleet.now
+            fleet.send(rate * 0.6, 6, all_hosts)
+            self.rate, self.burst = rate, burst
+            self.assert_within(fleet)
+            self.assert_served(fleet, 0.1, since)
+
+    def test_below_the_quota_without_home(self) -> None:
+        """The home dies under six tenths of the rate, at all hosts."""
+        for rate, burst in ((30, 30), (9, 9), (5, 5)):
+            fleet = self.open(rate, burst)
+            self.send(fleet, 0.6, 10)
+            fleet.kill(fleet.home)
+            since = fleet.now
+            self.send(fleet, 0.6, 6)
+            self.assert_within(fleet)
+            self.assert_served(fleet, 0.1, since)
+
 
 class AccountTest(QuotaCase):
     """Single requests, and what is kept of customers."""
