--- a/tests/components/quotas/test_quotas.py
+++ b/tests/components/quotas/test_quotas.py
@@ -246,7 +246,8 @@
             fleet.restart_all()
             since = fleet.now
             fleet.send(rate * 0.6, 6, all_hosts)
-            self.rate, self.burst = rate, burst
+            self.rate = rate
+            self.burst = burst
             self.assert_within(fleet)
             self.assert_served(fleet, 0.1, since)
 
