--- a/snipejunction/components/consensus/replica.py
+++ b/snipejunction/components/consensus/replica.py
@@ -125,6 +125,12 @@
         """Return whether this replica leads and accepts proposals."""
         return self.leadership is not None and self.leadership.is_ready
 
+    @property
+    def is_transferring(self) -> bool:
+        """Return whether proposals are rejected during a transfer."""
+        leadership = self.leadership
+        return leadership is not None and bool(leadership.transfer_target)
+
     @property
     def is_voter(self) -> bool:
         """Return whether this disk is a voter of the configuration."""
--- a/snipejunction/components/journal/const.py
+++ b/snipejunction/components/journal/const.py
@@ -30,6 +30,8 @@
 ROUTING_TIMEOUT_SECONDS: Final = 0.5
 LOOKUP_TIMEOUT_SECONDS: Final = 0.5
 BEGIN_RESEND_SECONDS: Final = 0.2
+# Time after which a root asks again if the asked host cannot serve it yet.
+REDIRECT_RETRY_SECONDS: Final = 0.05
 POLL_INTERVAL_SECONDS: Final = 0.1
 RUN_RESEND_SECONDS: Final = 0.5
 FINISH_RESEND_SECONDS: Final = 0.3
@@ -39,6 +41,8 @@
 MIN_RUN_SECONDS: Final = 0.01
 DEFAULT_DEADLINE_SECONDS: Final = 1.0
 MAX_OPEN_RUNS: Final = 10000
+# Requests that an elected leader keeps until it is ready.
+MAX_EARLY_REQUESTS: Final = 4096
 
 METRIC_RUNS: Final = 'journal.runs'
 METRIC_REPLAYS: Final = 'journal.replays'
--- a/snipejunction/components/journal/machine.py
+++ b/snipejunction/components/journal/machine.py
@@ -4,8 +4,9 @@
 
 from collections.abc import Iterator
 
-from snipejunction.commands import Command, SendPeer
+from snipejunction.commands import Command, Deliver, SendPeer
 from snipejunction.components.consensus.machine import register_machine
+from snipejunction.components.journal.const import MAX_EARLY_REQUESTS
 from snipejunction.components.journal.messages import (
     BeginEntry,
     FinishEntry,
@@ -13,6 +14,7 @@
     JournalBeginResponse,
     JournalFinishRequest,
     JournalFinishResponse,
+    JournalRedirect,
 )
 from snipejunction.components.journal.state import JournalState
 from snipejunction.const import GROUP_JOURNAL
@@ -29,6 +31,8 @@
     """
 
     __slots__ = (
+        '_early_requests',
+        '_early_term',
         '_last_lookup_token',
         'pending_begins',
         'pending_finishes',
@@ -42,6 +46,10 @@
         self.pending_begins: dict[str, JournalBeginRequest] = {}
         self.pending_finishes: dict[str, JournalFinishRequest] = {}
         self.pending_lookups: dict[int, JournalBeginRequest] = {}
+        self._early_requests: dict[
+            tuple[str, bool], JournalBeginRequest | JournalFinishRequest
+        ] = {}
+        self._early_term = 0
         self._last_lookup_token = 0
 
     def add_pending_lookup(self, message: JournalBeginRequest) -> int:
@@ -50,6 +58,22 @@
         self.pending_lookups[self._last_lookup_token] = message
         return self._last_lookup_token
 
+    def hold_until_ready(
+        self, message: JournalBeginRequest | JournalFinishRequest, term: int
+    ) -> bool:
+        """Keep a request to the leader elected in ``term`` until it is ready.
+
+        Return False if too many are kept.
+        """
+        if term != self._early_term:
+            self._early_requests.clear()
+            self._early_term = term
+        if len(self._early_requests) >= MAX_EARLY_REQUESTS:
+            return False
+        is_finish = isinstance(message, JournalFinishRequest)
+        self._early_requests[message.token, is_finish] = message
+        return True
+
     def apply(
         self,
         node: Node,
@@ -105,11 +129,27 @@
         is_leader: bool,
         now: float,
     ) -> Iterator[Command]:
-        """Drop all open requests; roots resend them to the next leader."""
+        """Drop all open requests and handle those that came early.
+
+        The roots of dropped requests ask the next leader.
+        """
+        dropped_requests: list[JournalBeginRequest | JournalFinishRequest] = [
+            *self.pending_begins.values(),
+            *self.pending_finishes.values(),
+            *self.pending_lookups.values(),
+        ]
+        for request in dropped_requests:
+            redirect = JournalRedirect(request.run_id, request.token, '')
+            yield SendPeer(request.sender, redirect)
         self.pending_begins.clear()
         self.pending_finishes.clear()
         self.pending_lookups.clear()
-        return iter(())
+        early_requests = list(self._early_requests.values())
+        self._early_requests.clear()
+        term = node.consensus.replicas[GROUP_JOURNAL].term
+        if is_leader and term == self._early_term:
+            for early_request in early_requests:
+                yield Deliver(early_request)
 
     def request_status(self, request: JournalBeginRequest) -> str:
         """Return the status of a request as a ``STATUS_`` constant."""
--- a/snipejunction/components/journal/run.py
+++ b/snipejunction/components/journal/run.py
@@ -6,6 +6,7 @@
 from enum import Enum
 
 from snipejunction.components.journal.messages import RequestKey, RunRequest
+from snipejunction.timers import NEVER
 from snipejunction.verdict import Refusal
 
 
@@ -20,6 +21,28 @@
     FINISHING = 'finishing'
 
 
+class JournalContact:
+    """The control host that a run asked last and how it answered.
+
+    ``retry_due`` is when to ask again after a redirect that was not followed
+    at once, in monotonic seconds.
+    """
+
+    __slots__ = ('has_followed_redirect', 'host', 'retry_due')
+
+    def __init__(self) -> None:
+        """Create the state of a run that has asked no host."""
+        self.host = ''
+        self.has_followed_redirect = False
+        self.retry_due = NEVER
+
+    def start(self, host: str) -> None:
+        """Note that a host is asked, which has not answered yet."""
+        self.host = host
+        self.has_followed_redirect = False
+        self.retry_due = NEVER
+
+
 class Run:
     """One attempt to run a request; times are in monotonic seconds.
 
@@ -31,6 +54,7 @@
 
     __slots__ = (
         'call',
+        'contact',
         'deadline',
         'digest',
         'finish_resends',
@@ -75,6 +99,7 @@
         self.owner_incarnation = ''
         self.holder = ''
         self.finish_resends = 0
+        self.contact = JournalContact()
         self.refusal: Refusal | None = None
         self.payload = b''
         self.resend_due = now
@@ -85,6 +110,11 @@
         """Return whether the run waits for ``JournalBeginResponse``."""
         return self.phase in {RunPhase.LOOKING_UP, RunPhase.BEGINNING}
 
+    @property
+    def awaits_journal(self) -> bool:
+        """Return whether the run waits for any response of the journal."""
+        return self.awaits_begin_response or self.phase is RunPhase.FINISHING
+
 
 def _digest(call: RunRequest) -> bytes:
     body = hashlib.sha256(call.key.encode())
--- a/snipejunction/components/journal/systems/client.py
+++ b/snipejunction/components/journal/systems/client.py
@@ -9,6 +9,7 @@
     BEGIN_RESEND_SECONDS,
     FINISH_RESEND_SECONDS,
     MAX_KEPT_PAYLOAD_BYTES,
+    REDIRECT_RETRY_SECONDS,
 )
 from snipejunction.components.journal.messages import (
     JournalBeginRequest,
@@ -34,6 +35,7 @@
         JournalBeginRequest(
             run.run_id, run.key, run.digest, run.token, is_lookup
         ),
+        run,
         node,
     )
 
@@ -52,7 +54,7 @@
     if len(run.payload) > MAX_KEPT_PAYLOAD_BYTES:
         message.refusal = not_kept_refusal()
         message.payload = b''
-    yield from _send_to_leader(message, node)
+    yield from _send_to_leader(message, run, node)
 
 
 def switch_control_host(node: Node) -> None:
@@ -66,19 +68,24 @@
     node.journal.contacted_host = names[position % len(names)]
 
 
-def _send_to_leader(message: PeerMessage, node: Node) -> Iterator[Command]:
-    replica = node.consensus.replicas.get(GROUP_JOURNAL)
-    leader = node.journal.leader
-    if replica is not None and replica.leader_name:
-        leader = replica.leader_name
+def _send_to_leader(
+    message: PeerMessage, run: Run, node: Node
+) -> Iterator[Command]:
+    leader = _replica_leader(node) or node.journal.leader
     if not leader:
         if not node.journal.contacted_host:
             switch_control_host(node)
         leader = node.journal.contacted_host
+    run.contact.start(leader)
     if leader:
         yield SendPeer(leader, message)
 
 
+def _replica_leader(node: Node) -> str:
+    replica = node.consensus.replicas.get(GROUP_JOURNAL)
+    return '' if replica is None else replica.leader_name or ''
+
+
 def _control_hosts(node: Node) -> list[str]:
     names = {voter.name for voter in node.host_settings.voters}
     replica = node.consensus.replicas.get(GROUP_JOURNAL)
@@ -94,16 +101,39 @@
     node: Node,
     now: float,
 ) -> Iterator[Command]:
-    if message.leader in {'', message.sender}:
-        if message.sender in {node.journal.leader, node.journal.contacted_host}:
-            switch_control_host(node)
-        return
-    is_new_leader = node.journal.leader != message.leader
-    node.journal.leader = message.leader
+    has_leader = message.leader not in {'', message.sender}
+    if has_leader:
+        node.journal.leader = message.leader
+    else:
+        _leave_host_without_leader(message, node)
     run = node.journal.find(message.run_id, message.token)
-    if run is None or not is_new_leader:
+    if run is None or not run.awaits_journal:
         return
-    if run.phase in {RunPhase.BEGINNING, RunPhase.LOOKING_UP}:
-        yield from send_begin(run, node, now)
-    elif run.phase is RunPhase.FINISHING:
+    if has_leader and not run.contact.has_followed_redirect:
+        # Redirects of other runs may have named this leader before.
+        if run.contact.host != message.leader:
+            yield from retry(run, node, now)
+            run.contact.has_followed_redirect = True
+    else:
+        retry_due = now + REDIRECT_RETRY_SECONDS
+        run.contact.retry_due = min(run.contact.retry_due, retry_due)
+
+
+def _leave_host_without_leader(message: JournalRedirect, node: Node) -> None:
+    if message.sender in {node.journal.leader, node.journal.contacted_host}:
+        switch_control_host(node)
+
+
+def is_retry_due(run: Run, now: float) -> bool:
+    """Return whether to ask again before the regular resend."""
+    return now >= run.contact.retry_due and run.awaits_journal
+
+
+def retry(run: Run, node: Node, now: float) -> Iterator[Command]:
+    """Ask again after a redirect; the regular resend stays due."""
+    resend_due = run.resend_due
+    if run.phase is RunPhase.FINISHING:
         yield from send_outcome(run, node, now)
+    else:
+        yield from send_begin(run, node, now)
+    run.resend_due = resend_due
--- a/snipejunction/components/journal/systems/ending.py
+++ b/snipejunction/components/journal/systems/ending.py
@@ -20,6 +20,8 @@
 )
 from snipejunction.components.journal.systems.asking import route_run
 from snipejunction.components.journal.systems.client import (
+    is_retry_due,
+    retry,
     send_begin,
     send_outcome,
     switch_control_host,
@@ -113,10 +115,17 @@
     """Resend unanswered requests and end runs without an outcome."""
     runs = list(node.journal.runs.values())
     unanswered_runs = [run for run in runs if _is_resend_due(run, now)]
-    if any(not run.holder for run in unanswered_runs):
+    contact = node.journal.leader or node.journal.contacted_host
+    if any(
+        run.contact.host == contact and not run.holder
+        for run in unanswered_runs
+    ):
         switch_control_host(node)
     for unanswered_run in unanswered_runs:
         yield from _resend(unanswered_run, node, now)
+    for run in runs:
+        if is_retry_due(run, now):
+            yield from retry(run, node, now)
     for run in runs:
         if run.phase is RunPhase.ROUTING:
             yield from route_run(run, node, now)
@@ -135,16 +144,12 @@
         return
     switch_control_host(node)
     for run in list(table.runs.values()):
-        if _waits_for_journal(run):
+        if run.awaits_journal:
             yield from _resend(run, node, now)
 
 
 def _is_resend_due(run: Run, now: float) -> bool:
-    return now >= run.resend_due and _waits_for_journal(run)
-
-
-def _waits_for_journal(run: Run) -> bool:
-    return run.awaits_begin_response or run.phase is RunPhase.FINISHING
+    return now >= run.resend_due and run.awaits_journal
 
 
 def _resend(run: Run, node: Node, now: float) -> Iterator[Command]:
--- a/snipejunction/components/journal/systems/leading.py
+++ b/snipejunction/components/journal/systems/leading.py
@@ -34,7 +34,7 @@
 ) -> Iterator[Command]:
     replica = node.consensus.replicas.get(GROUP_JOURNAL)
     if replica is None or not replica.is_ready:
-        yield _redirect(replica, message)
+        yield from _redirect_or_hold(replica, message)
         return
     machine = _journal_machine(replica)
     status = machine.request_status(message)
@@ -44,10 +44,21 @@
     elif message.is_lookup:
         yield from _start_lookup(replica, machine, message)
     elif message.token not in machine.pending_begins:
-        entry = BeginEntry(message.key, message.digest, message.token)
-        if propose(replica, encode(entry)) is not None:
-            machine.pending_begins[message.token] = message
-            yield Deliver(FlushLog(GROUP_JOURNAL))
+        yield from _propose_begin(replica, machine, message)
+
+
+def _propose_begin(
+    replica: Replica,
+    machine: JournalMachine,
+    message: JournalBeginRequest,
+) -> Iterator[Command]:
+    if replica.is_transferring:
+        yield _redirect(None, message)
+        return
+    entry = BeginEntry(message.key, message.digest, message.token)
+    if propose(replica, encode(entry)) is not None:
+        machine.pending_begins[message.token] = message
+        yield Deliver(FlushLog(GROUP_JOURNAL))
 
 
 def _start_lookup(
@@ -68,11 +79,14 @@
 ) -> Iterator[Command]:
     replica = node.consensus.replicas.get(GROUP_JOURNAL)
     if replica is None or not replica.is_ready:
-        yield _redirect(replica, message)
+        yield from _redirect_or_hold(replica, message)
         return
     machine = _journal_machine(replica)
     if message.token in machine.pending_finishes:
         return
+    if replica.is_transferring:
+        yield _redirect(None, message)
+        return
     entry = FinishEntry(
         message.key,
         message.token,
@@ -94,6 +108,17 @@
     return machine
 
 
+def _redirect_or_hold(
+    replica: Replica | None,
+    message: JournalBeginRequest | JournalFinishRequest,
+) -> Iterator[Command]:
+    if replica is not None and replica.is_leader:
+        machine = _journal_machine(replica)
+        if machine.hold_until_ready(message, replica.term):
+            return
+    yield _redirect(replica, message)
+
+
 def _redirect(
     replica: Replica | None,
     message: JournalBeginRequest | JournalFinishRequest,
--- a/tests/components/journal/test_journal.py
+++ b/tests/components/journal/test_journal.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from testtools import TestCase
-from testtools.matchers import Equals, Is
+from testtools.matchers import Equals, Is, Not
 
+from snipejunction.commands import SendPeer
 from snipejunction.components.journal import state
 from snipejunction.components.journal.const import (
     STATUS_EXPIRED,
@@ -14,6 +15,7 @@
     BeginEntry,
     FinishEntry,
     JournalBeginRequest,
+    JournalRedirect,
     RequestKey,
     RunResponse,
 )
@@ -27,8 +29,10 @@
     CODE_OUTCOME_UNKNOWN,
     CODE_SHED,
 )
-from snipejunction.messages import PeerLost
+from snipejunction.handling import handle
+from snipejunction.messages import PeerLost, StopRequested
 from snipejunction.verdict import Verdict, not_run_refusal
+from tests.components.consensus.harness import Host
 from tests.components.journal.harness import (
     CALLER,
     SERVICE,
@@ -314,6 +318,81 @@
             self.assertThat(has_run, Is(False))
 
 
+class PlannedStopTest(JournalTestCase):
+    """Requests while the leader of the journal hands over and stops."""
+
+    def test_root_that_led(self) -> None:
+        """A stopping leader asks its successor in time."""
+        self._check_stop(self.cluster.leader().name, delay=0.03)
+
+    def test_root_without_a_vote(self) -> None:
+        """A root with many open requests finds the next leader in time."""
+        self._check_stop('h4', delay=0.02)
+
+    def test_request_during_the_transfer(self) -> None:
+        """A leader that rejects proposals says so at once."""
+        leader = self.cluster.leader()
+        self.cluster.isolate(leader.name)
+        self.cluster.process(leader, StopRequested())
+        key = RequestKey(CALLER, SERVICE, 'loan-1')
+        begin = JournalBeginRequest(1, key, b'', 'h4/i1/1', False)
+        begin.sender = 'h4'
+        answers = list(handle(begin, leader.node, self.cluster.now))
+        redirect = SendPeer('h4', JournalRedirect(1, begin.token, ''))
+        self.assertThat(answers, Equals([redirect]))
+
+    def test_request_before_the_leader_is_ready(self) -> None:
+        """An elected leader keeps a request until its first commit."""
+        self.cluster.delay = (0.02, 0.02)
+        self.cluster.run(1)
+        self.cluster.process(self.cluster.leader(), StopRequested())
+        while not any(host.replica.is_leader for host in self._successors()):
+            self.cluster.run(0.002)
+        successor = next(
+            host for host in self._successors() if host.replica.is_leader
+        )
+        root = self.cluster.hosts['h4'].node
+        root.journal.leader = successor.name
+        call = self.cluster.start_request('h4', 'loan-1', deadline=0.2)
+        self.cluster.run(0.021)
+        self.assertThat(successor.replica.is_ready, Is(False))
+        response = self.cluster.wait_response(call)
+        self.assertThat(response.refusal, Is(None))
+        self.assertThat(self.cluster.runs, Equals(['loan-1']))
+
+    def _successors(self) -> list[Host]:
+        return [
+            host
+            for host in self.cluster.running_hosts
+            if not _is_stopping(host)
+        ]
+
+    def _check_stop(self, root: str, delay: float) -> None:
+        self.cluster.delay = (delay, delay)
+        self.cluster.run(1)
+        leader = self.cluster.leader()
+        calls = self._send_for(0.2, root)
+        self.cluster.process(leader, StopRequested())
+        calls += self._send_for(0.6, root)
+        responses = [self.cluster.wait_response(call) for call in calls]
+        refusals = [response.refusal for response in responses]
+        self.assertThat(list(filter(None, refusals)), Equals([]))
+        self.assertThat(self.cluster.leader(), Not(Is(leader)))
+        self.assertThat(len(self.cluster.runs), Equals(len(calls)))
+        self.assertThat(len(set(self.cluster.runs)), Equals(len(calls)))
+
+    def _send_for(self, seconds: float, root: str) -> list[int]:
+        calls = []
+        end = self.cluster.now + seconds
+        while self.cluster.now < end:
+            request_id = f'loan-{self.cluster.now}'
+            calls.append(
+                self.cluster.start_request(root, request_id, deadline=0.5)
+            )
+            self.cluster.run(0.02)
+        return calls
+
+
 class WindowTest(JournalTestCase):
     """Ids that the journal has retired."""
 
@@ -368,3 +447,7 @@
         journal_state.finish(FinishEntry(key, 'first', refusal, b''))
         status = journal_state.status(key, b'', 'third')
         self.assertThat(status, Equals(STATUS_RUNNING))
+
+
+def _is_stopping(host: Host) -> bool:
+    return host.node.consensus.is_stopping
