--- a/snipejunction/components/gateway/document_review.py
+++ b/snipejunction/components/gateway/document_review.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
+from typing import Final
 
 from snipejunction.components.gateway.document import (
     CallerLimits,
@@ -12,6 +13,9 @@
 )
 from snipejunction.helpers.records import Record, field_names
 
+# Field of customers that is compared by numbers only.
+_KEYS: Final = 'key_digests'
+
 
 class Remark(Record):
     """A remark on the entry of a document at ``path``."""
@@ -44,11 +48,11 @@
         if service not in used:
             yield Remark(f'services/{service}', 'no route uses it')
     yield from _review_limits(document.limits)
-    for customer in set(document.customers_by_digest.values()):
-        path = f'customers/{customer.name}'
-        if customer.burst and not customer.rate:
-            yield Remark(path, 'a burst without a rate has no effect')
-        yield from _review_regions(path, customer, regions)
+    for customer in document.customers.values():
+        yield from _review_customer(customer, document.routes)
+        yield from _review_regions(
+            f'customers/{customer.name}', customer, regions
+        )
 
 
 def review_version(old: Document, new: Document) -> Iterator[Remark]:
@@ -68,9 +72,7 @@
         {route.name: route for route in new.routes},
     )
     yield from _compare_entries('services', old.services, new.services)
-    yield from _compare_entries(
-        'customers', _customers_by_name(old), _customers_by_name(new)
-    )
+    yield from _compare_entries('customers', old.customers, new.customers)
     yield from _compare_fields('limits', old.limits, new.limits)
 
 
@@ -95,6 +97,31 @@
         yield Remark(path, 'its answers hold no records')
 
 
+def _review_customer(
+    customer: Customer, routes: Iterable[Route]
+) -> Iterator[Remark]:
+    path = f'customers/{customer.name}'
+    if not customer.key_digests:
+        yield Remark(path, 'without keys it can send no request')
+    if customer.burst and not customer.rate:
+        yield Remark(path, 'a burst without a rate has no effect')
+    if customer.rate and customer.burst < 1:
+        yield Remark(
+            path,
+            f'a burst of {customer.burst:g} is below one request and counts '
+            'as 1',
+        )
+    for route in routes:
+        # A key counts on public routes, too.
+        is_bound = customer.regions and route.regions
+        if is_bound and customer.regions.isdisjoint(route.regions):
+            yield Remark(
+                path,
+                f'no region in common with route {route.name}, which can '
+                'never serve it',
+            )
+
+
 def _review_regions(
     path: str, entry: Route | Customer, regions: Collection[str]
 ) -> Iterator[Remark]:
@@ -111,13 +138,6 @@
         yield Remark('limits', 'no time between requests')
 
 
-def _customers_by_name(document: Document) -> dict[str, Customer]:
-    return {
-        customer.name: customer
-        for customer in document.customers_by_digest.values()
-    }
-
-
 def _compare_entries(
     path: str, old: Mapping[str, Record], new: Mapping[str, Record]
 ) -> Iterator[Remark]:
@@ -132,5 +152,22 @@
 def _compare_fields(path: str, old: Record, new: Record) -> Iterator[Remark]:
     for name in field_names(type(new)):
         before, after = getattr(old, name), getattr(new, name)
-        if before != after:
-            yield Remark(f'{path}/{name}', f'{before!r} becomes {after!r}')
+        if before == after:
+            continue
+        if name == _KEYS:
+            yield Remark(f'{path}/keys', _count_changes(before, after))
+        else:
+            change = f'{_describe(before)} becomes {_describe(after)}'
+            yield Remark(f'{path}/{name}', change)
+
+
+def _count_changes(before: frozenset[bytes], after: frozenset[bytes]) -> str:
+    """Return how many keys were added and removed, never any of them."""
+    return f'{len(after - before)} added, {len(before - after)} removed'
+
+
+def _describe(field: object) -> str:
+    """Return a field as text that is the same in each run."""
+    if isinstance(field, frozenset):
+        return ', '.join(sorted(field)) or 'all'
+    return repr(field)
--- a/snipejunction/platform/documents.py
+++ b/snipejunction/platform/documents.py
@@ -134,13 +134,15 @@
 
 
 def _check_unique_customers(customers: list[Customer]) -> None:
-    names: set[str] = set()
+    numbers: dict[str, int] = {}
     names_by_digest: dict[bytes, str] = {}
-    for customer in customers:
+    for number, customer in enumerate(customers):
         path = f'/tenants/{customer.name}'
-        if customer.name in names:
-            raise SettingsError(path, 'another tenant has the same name')
-        names.add(customer.name)
+        first = numbers.setdefault(customer.name, number)
+        if first != number:
+            raise SettingsError(
+                path, f'entries {first} and {number} have the same name'
+            )
         for digest in customer.key_digests:
             holder = names_by_digest.setdefault(digest, customer.name)
             if holder != customer.name:
--- a/tests/cli/test_check_against.py
+++ b/tests/cli/test_check_against.py
@@ -11,14 +11,16 @@
 from typing import Any
 
 from testtools import TestCase
-from testtools.matchers import Contains, Equals
+from testtools.matchers import Contains, Equals, Not
 
 from snipejunction.cli.program import run
-from tests.platform.test_documents import DOCUMENT
+from tests.platform.test_documents import CUSTOMERS, DOCUMENT, KEYS, digest_of
 
+NEW_KEY = 'key-four'
 
-class CheckAgainstTest(TestCase):
-    """Errors, remarks and changes with their exit codes."""
+
+class CheckCase(TestCase):
+    """A document in force and a changed one."""
 
     def setUp(self) -> None:
         """Write the version in force; prepare a change of it."""
@@ -53,6 +55,10 @@
         self.assertThat(printed, Contains(f'remark: {remark}'))
         self.assertThat(code, Equals(1))
 
+
+class CheckAgainstTest(CheckCase):
+    """Errors, remarks and changes with their exit codes."""
+
     def test_fine(self) -> None:
         """A version that only is newer has neither remarks nor changes."""
         self.assertThat(self.check(), Equals((0, '')))
@@ -118,3 +124,104 @@
         }
         self.assertThat(found, Equals(expected))
         self.assertThat(code, Equals(0))
+
+
+class CheckCustomersTest(CheckCase):
+    """Customers: their keys, quotas and regions."""
+
+    def setUp(self) -> None:
+        """Give both versions the same customers."""
+        super().setUp()
+        table = {**DOCUMENT, 'tenants': CUSTOMERS}
+        self.in_force.write_text(json.dumps(table))
+        self.changed['tenants'] = copy.deepcopy(list(CUSTOMERS))
+        self.large = self.changed['tenants'][0]
+        self.small = self.changed['tenants'][1]
+
+    def check_error(self, *parts: str) -> None:
+        code, printed = self.check()
+        for part in ('error: /tenants/', *parts):
+            self.assertThat(printed, Contains(part))
+        self.assert_secret(printed)
+        self.assertThat(code, Equals(2))
+
+    def assert_secret(self, printed: str) -> None:
+        """Check that neither keys nor their digests are printed."""
+        for key in (*KEYS, NEW_KEY):
+            digest = digest_of(key)
+            for secret in (key, digest.hex(), repr(digest)[2:-1]):
+                self.assertThat(printed, Not(Contains(secret)))
+
+    def test_fine(self) -> None:
+        """Customers that stay have neither remarks nor changes."""
+        self.assertThat(self.check(), Equals((0, '')))
+
+    def test_shared_key(self) -> None:
+        """A key of two customers is an error that names both."""
+        self.small['apiKeys'].append(KEYS[0])
+        self.check_error('large', 'small')
+
+    def test_shared_name(self) -> None:
+        """A name of two customers is an error that names both entries."""
+        self.small['name'] = 'large'
+        self.check_error('large', 'entries 0 and 1')
+
+    def test_burst_without_rate(self) -> None:
+        """A burst beyond no limit."""
+        self.small['burst'] = 5
+        self.check_remark('customers/small: a burst without a rate')
+
+    def test_burst_below_one(self) -> None:
+        """A burst that holds no request."""
+        self.large['burst'] = 0.5
+        self.check_remark('customers/large: a burst of 0.5 is below one')
+
+    def test_without_keys(self) -> None:
+        """A customer that can send nothing; its keys were removed."""
+        self.small['apiKeys'] = []
+        self.check_remark('customers/small: without keys')
+        self.assertThat(
+            self.check()[1], Contains('customers/small/keys: 0 added, 1 rem')
+        )
+
+    def test_no_common_region(self) -> None:
+        """A route that never serves a customer, also if it is public."""
+        self.large['homeRegions'] = ['kano']
+        remark = 'customers/large: no region in common with route r-2'
+        self.check_remark(remark)
+        self.changed['routes'][1]['public'] = True
+        self.check_remark(remark)
+
+    def test_region_without_data_centre(self) -> None:
+        """A home that has no data centre."""
+        self.check_remark(
+            'customers/large: region lagos has no data centre',
+            '--region',
+            'kano',
+        )
+
+    def test_changes(self) -> None:
+        """Changes of customers; of keys, numbers only."""
+        self.large.update(
+            apiKeys=[KEYS[0], NEW_KEY],
+            burst=9,
+            homeRegions=['oyo', 'lagos'],
+            priority=None,
+            ratePerS=7,
+        )
+        self.small['name'] = 'new'
+        code, printed = self.check('--json')
+        self.assert_secret(printed)
+        changes = json.loads(printed)['changes']
+        found = {change['path']: change['problem'] for change in changes}
+        expected = {
+            'customers/small': 'removed',
+            'customers/new': 'added',
+            'customers/large/burst': '5 becomes 9',
+            'customers/large/keys': '1 added, 1 removed',
+            'customers/large/priority': '0 becomes None',
+            'customers/large/rate': '2.5 becomes 7',
+            'customers/large/regions': 'lagos becomes lagos, oyo',
+        }
+        self.assertThat(found, Equals(expected))
+        self.assertThat(code, Equals(0))
