--- a/snipejunction/helpers/wire.py
+++ b/snipejunction/helpers/wire.py
@@ -17,6 +17,7 @@
 from __future__ import annotations
 
 import inspect
+import reprlib
 import types
 from copy import copy
 from typing import (
@@ -165,11 +166,12 @@
     if not isinstance(body, list) or len(body) < _HEADER_FIELDS:
         raise WireError('not an array of version, type and fields')
     if body[0] != WIRE_VERSION:
-        raise WireError(f'version {body[0]!r}, expected {WIRE_VERSION}')
+        found = reprlib.repr(body[0])
+        raise WireError(f'version {found}, expected {WIRE_VERSION}')
     number = body[1]
     record_type = _types.get(number) if isinstance(number, int) else None
     if record_type is None:
-        raise WireError(f'unknown type {number!r}')
+        raise WireError(f'unknown type {reprlib.repr(number)}')
     parts = body[_HEADER_FIELDS:]
     if skipped is None or record_type not in _independent:
         return unpack_fields(record_type, parts)
--- a/tests/helpers/test_wire.py
+++ b/tests/helpers/test_wire.py
@@ -6,7 +6,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools import TestCase
-from testtools.matchers import Equals, HasLength, MatchesException, Raises
+from testtools.matchers import (
+    Equals,
+    HasLength,
+    LessThan,
+    MatchesException,
+    Raises,
+)
 
 from snipejunction.components.gateway.messages import PartReport
 from snipejunction.components.owner.messages import (
@@ -62,6 +68,13 @@
         frame = msgpack.packb([2, 60, 1, 'a'])
         self.assertThat(lambda: decode(frame), _raises_wire_error)
 
+    def test_short_error(self) -> None:
+        """The error does not repeat what a long frame holds."""
+        for head in (['x' * 5000], [1, bytes(5000)], [list(range(5000))]):
+            frame = msgpack.packb([*head, 60, 1])
+            error = self.assertRaises(WireError, decode, frame)
+            self.assertThat(len(str(error)), LessThan(100))
+
     def test_missing_field(self) -> None:
         """A frame with too few fields is rejected."""
         frame = msgpack.packb([1, 60, 1])
