The soak learns customers

Cause: the soak's documents had no customers, so no fault met keys or quotas. Change: each document holds three customers; one has a quota, one a key that only some versions hold. Callers use all keys and two wrong ones. Checked: the searcher is told the right customer and sees no key; no request runs for a wrong key, nor, sent more than 4 s after the acknowledgement of a version without its key, for a removed one by hosts that were not disturbed; no key that all versions hold is refused there; in any 5 s the searchers run at most (5 x rate + burst) x 1.1 + 20 requests of a customer, whatever is disturbed.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -48,7 +48,9 @@
             except TimeoutError:
                 environment.checker.add_violation('the run does not end')
             environment.checker.check_final()
+            environment.customers.check_final()
             driver.log_fault(f'end, {dict(environment.checker.statuses)}')
+            driver.log_fault(f'keys, {dict(environment.customers.outcomes)}')
         violations = list(environment.checker.violations)
         if violations:
             kept = FAILED_RUNS_FOLDER / f'seed-{seed}'
--- a/tests/soak/searchers.py
+++ b/tests/soak/searchers.py
@@ -268,6 +268,9 @@
                 request_id,
             ),
         )
+        self._environment.customers.check_arrival(
+            request_id, fields, PREFIX, self._environment.now
+        )
         self._check_rate()
         await asyncio.sleep(self._random.uniform(0.002, 0.02))
         # Simulate an occasional pause.
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -15,6 +15,13 @@
     Machine,
     MachineGroup,
 )
+from tests.soak.customers import (
+    KEYS,
+    PLAIN_KEY,
+    WRONG_KEYS,
+    CustomerChecker,
+    make_customers,
+)
 from tests.soak.ledger import InvariantChecker
 from tests.soak.searchers import OPERATORS, Searcher
 
@@ -58,6 +65,14 @@
             'attempts': 2,
             **common,
         },
+        {
+            'name': 'k',
+            'pathPrefix': '/k/',
+            'kind': 'safe',
+            'service': UNSAFE_SERVICE,
+            'attempts': 2,
+            **common,
+        },
         {
             'name': 'u',
             'pathPrefix': '/u/',
@@ -69,7 +84,12 @@
     ]
     names = {UNSAFE_SERVICE}.union(*SHARD_SETS)
     services = [{'name': name, 'maxConns': 40} for name in sorted(names)]
-    table = {'version': version, 'routes': routes, 'services': services}
+    table = {
+        'version': version,
+        'routes': routes,
+        'services': services,
+        'tenants': make_customers(version),
+    }
     return json.dumps(table).encode()
 
 
@@ -79,6 +99,7 @@
     def __init__(self, folder: Path, block: int, seed: int) -> None:
         self.random = Random(seed)
         self.checker = InvariantChecker()
+        self.customers = CustomerChecker(self.checker)
         self.site = MachineGroup(folder, block)
         self.sent: dict[int, bytes] = {}
         self.version = 0
@@ -113,6 +134,7 @@
             self._start_task(self._async_send_queries(number))
         self._start_task(self._async_send_unsafe_requests())
         self._start_task(self._async_read_config())
+        self._start_task(self._async_send_with_keys())
         return self
 
     async def __aexit__(self, *details: object) -> None:
@@ -129,6 +151,7 @@
         version = self.version
         shards = SHARD_SETS[version % len(SHARD_SETS)]
         self.sent[version] = make_document(version, shards)
+        self.customers.record_sent(version, self.now)
         while True:
             machine = self.random.choice(self.site.machines)
             status, _, _ = await self.site.async_call(
@@ -137,6 +160,7 @@
                 self.sent[version],
             )
             if status == 200:
+                self.customers.record_acknowledged(version, self.now)
                 break
             if 400 <= status < 500:
                 self.checker.add_violation(
@@ -287,15 +311,39 @@
                 self._check_interrupted(machine, request_id)
             await asyncio.sleep(self.random.uniform(0, 0.3))
 
-    async def _async_send(self, machine, method, path, request_id, body=b''):
+    async def _async_send_with_keys(self) -> None:
+        """Send requests of all customers, and with keys of none.
+
+        Together they are more than the quota that one of them has.
+        """
+        keys = (*KEYS, *WRONG_KEYS)
+        while True:
+            tasks = []
+            for key in keys:
+                machine = self.random.choice(self.site.machines)
+                request_id = self._new_id('key')
+                self.checker.requests.append((self.now, (UNSAFE_SERVICE,)))
+                send = self._async_send(
+                    machine, 'GET', '/k/x', request_id, key=key
+                )
+                tasks.append(send)
+            await asyncio.gather(*tasks)
+            await asyncio.sleep(self.random.uniform(0, 0.2))
+
+    async def _async_send(
+        self, machine, method, path, request_id, body=b'', key=PLAIN_KEY
+    ):
+        self.customers.record_request(request_id, key, self.now)
         status, content, fields = await self.site.async_call(
             method,
             machine.url(CALLERS, path),
             body,
             Host='a.example',
+            X_Snipejunction_Key=key,
             X_Snipejunction_Request_Id=request_id,
             X_Snipejunction_Request_Deadline=str(int(DEADLINE_SECONDS * 1000)),
         )
+        self.customers.record_status(request_id, status, self.now)
         self.checker.statuses[status] += 1
         return status, content, fields
 
