--- a/snipejunction/components/gateway/document_review.py
+++ b/snipejunction/components/gateway/document_review.py
@@ -13,7 +13,7 @@
 )
 from snipejunction.helpers.records import Record, field_names
 
-# Field of customers that is compared by numbers only.
+# Field of customers that holds digests.
 _KEYS: Final = 'key_digests'
 
 
@@ -72,6 +72,9 @@
         {route.name: route for route in new.routes},
     )
     yield from _compare_entries('services', old.services, new.services)
+    if old.needs_keys != new.needs_keys:
+        needed = 'keys' if new.needs_keys else 'no keys'
+        yield Remark('customers', f'requests need {needed}')
     yield from _compare_entries('customers', old.customers, new.customers)
     yield from _compare_fields('limits', old.limits, new.limits)
 
@@ -152,18 +155,23 @@
 def _compare_fields(path: str, old: Record, new: Record) -> Iterator[Remark]:
     for name in field_names(type(new)):
         before, after = getattr(old, name), getattr(new, name)
-        if before == after:
-            continue
         if name == _KEYS:
-            yield Remark(f'{path}/keys', _count_changes(before, after))
-        else:
-            change = f'{_describe(before)} becomes {_describe(after)}'
-            yield Remark(f'{path}/{name}', change)
+            yield from _compare_keys(path, before, after)
+        elif before != after:
+            yield Remark(
+                f'{path}/{name}',
+                f'{_describe(before)} becomes {_describe(after)}',
+            )
 
 
-def _count_changes(before: frozenset[bytes], after: frozenset[bytes]) -> str:
-    """Return how many keys were added and removed, never any of them."""
-    return f'{len(after - before)} added, {len(before - after)} removed'
+def _compare_keys(
+    path: str, old: Collection[bytes], new: Collection[bytes]
+) -> Iterator[Remark]:
+    """Yield how many keys differ: nothing that is made from keys is shown."""
+    removed = len(set(old).difference(new))
+    added = len(set(new).difference(old))
+    if removed or added:
+        yield Remark(f'{path}/keys', f'{removed} removed, {added} added')
 
 
 def _describe(field: object) -> str:
--- a/snipejunction/components/quotas/account.py
+++ b/snipejunction/components/quotas/account.py
@@ -14,6 +14,7 @@
     BELIEF_SECONDS,
     EPOCH_BITS,
     MAX_RETRY_SECONDS,
+    NOT_REPORTED,
     PAUSE_SECONDS,
     RENEWAL_SECONDS,
     SPREAD_SECONDS,
@@ -105,7 +106,8 @@
         if level is not None:
             self._told = level
             self._told_at = now
-            self.base = level.total
+            if level.total != NOT_REPORTED:
+                self.base = level.total
         elif self.reported[0] == number:
             self.forget_level()
             self.base = self.reported[1]
@@ -245,5 +247,7 @@
     ) -> None:
         """Take the answer to the report with a number."""
         levels_by_name = {level.customer: level for level in levels}
+        for customer in levels_by_name:
+            self.spending_of(customer, now)
         for name, spending in self.spendings.items():
             spending.handle_answer(number, levels_by_name.get(name), now)
--- a/tests/cli/test_check_against.py
+++ b/tests/cli/test_check_against.py
@@ -125,6 +125,42 @@
         self.assertThat(found, Equals(expected))
         self.assertThat(code, Equals(0))
 
+    def test_changed_keys(self) -> None:
+        """Changes of keys are counted; nothing made from a key is printed."""
+        customer = {'name': 'large', 'apiKeys': ['k-1', 'k-2']}
+        empty = {'name': 'empty', 'apiKeys': []}
+        in_force = {**DOCUMENT, 'tenants': [customer]}
+        self.in_force.write_text(json.dumps(in_force))
+        customers = [{**customer, 'apiKeys': ['k-1', 'k-3', 'k-4']}, empty]
+        self.changed['tenants'] = customers
+        _, printed = self.check()
+        self.assertThat(
+            printed.splitlines(),
+            Equals(
+                [
+                    f'{self.file}: remark: customers/empty: without keys it '
+                    'can send no request',
+                    f'{self.file}: change: customers/empty: added',
+                    f'{self.file}: change: customers/large/keys: 1 removed, '
+                    '2 added',
+                ]
+            ),
+        )
+
+    def test_list_of_customers(self) -> None:
+        """A list of customers, even an empty one, asks for keys."""
+        self.changed['tenants'] = []
+        _, printed = self.check()
+        self.assertThat(
+            printed, Contains('change: customers: requests need keys')
+        )
+        self.in_force.write_text(json.dumps({**DOCUMENT, 'tenants': []}))
+        self.changed.pop('tenants')
+        _, printed = self.check()
+        self.assertThat(
+            printed, Contains('change: customers: requests need no keys')
+        )
+
 
 class CheckCustomersTest(CheckCase):
     """Customers: their keys, quotas and regions."""
@@ -181,7 +217,8 @@
         self.small['apiKeys'] = []
         self.check_remark('customers/small: without keys')
         self.assertThat(
-            self.check()[1], Contains('customers/small/keys: 0 added, 1 rem')
+            self.check()[1],
+            Contains('customers/small/keys: 1 removed, 0 added'),
         )
 
     def test_no_common_region(self) -> None:
@@ -218,7 +255,7 @@
             'customers/small': 'removed',
             'customers/new': 'added',
             'customers/large/burst': '5 becomes 9',
-            'customers/large/keys': '1 added, 1 removed',
+            'customers/large/keys': '1 removed, 1 added',
             'customers/large/priority': '0 becomes None',
             'customers/large/rate': '2.5 becomes 7',
             'customers/large/regions': 'lagos becomes lagos, oyo',
