--- a/snipejunction/components/gateway/document_review.py
+++ b/snipejunction/components/gateway/document_review.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from typing import Final
 
 from snipejunction.components.gateway.document import (
@@ -49,10 +49,10 @@
             yield Remark(f'services/{service}', 'no route uses it')
     yield from _review_limits(document.limits)
     for customer in document.customers.values():
-        path = f'customers/{customer.name}'
-        if customer.burst and not customer.rate:
-            yield Remark(path, 'a burst without a rate has no effect')
-        yield from _review_regions(path, customer, regions)
+        yield from _review_customer(customer, document.routes)
+        yield from _review_regions(
+            f'customers/{customer.name}', customer, regions
+        )
 
 
 def review_version(old: Document, new: Document) -> Iterator[Remark]:
@@ -100,6 +100,31 @@
         yield Remark(path, 'its answers hold no records')
 
 
+def _review_customer(
+    customer: Customer, routes: Iterable[Route]
+) -> Iterator[Remark]:
+    path = f'customers/{customer.name}'
+    if not customer.key_digests:
+        yield Remark(path, 'without keys it can send no request')
+    if customer.burst and not customer.rate:
+        yield Remark(path, 'a burst without a rate has no effect')
+    if customer.rate and customer.burst < 1:
+        yield Remark(
+            path,
+            f'a burst of {customer.burst:g} is below one request and counts '
+            'as 1',
+        )
+    for route in routes:
+        # A key counts on public routes, too.
+        is_bound = customer.regions and route.regions
+        if is_bound and customer.regions.isdisjoint(route.regions):
+            yield Remark(
+                path,
+                f'no region in common with route {route.name}, which can '
+                'never serve it',
+            )
+
+
 def _review_regions(
     path: str, entry: Route | Customer, regions: Collection[str]
 ) -> Iterator[Remark]:
@@ -133,7 +158,10 @@
         if name == _KEYS:
             yield from _compare_keys(path, before, after)
         elif before != after:
-            yield Remark(f'{path}/{name}', f'{before!r} becomes {after!r}')
+            yield Remark(
+                f'{path}/{name}',
+                f'{_describe(before)} becomes {_describe(after)}',
+            )
 
 
 def _compare_keys(
@@ -144,3 +172,10 @@
     added = len(set(new).difference(old))
     if removed or added:
         yield Remark(f'{path}/keys', f'{removed} removed, {added} added')
+
+
+def _describe(field: object) -> str:
+    """Return a field as text that is the same in each run."""
+    if isinstance(field, frozenset):
+        return ', '.join(sorted(field)) or 'all'
+    return repr(field)
