The soak orders roll-outs beside its other faults

Cause: roll-outs were not part of the soak.

Checked: nothing reaches a version before its order, or 5 s after rolled_back was shown to undisturbed hosts; the exposure; end states stay, and no order that was acknowledged is lost. The other two kinds of run have neither the bounds nor the orders.

The check was not changed; callers of this run now use both routes equally often.

--- a/tests/soak/driver.py
+++ b/tests/soak/driver.py
@@ -32,7 +32,12 @@
 
 
 class FaultInjector:
-    """Injects random faults and reverts each of them after a while."""
+    """Injects random faults and reverts each of them after a while.
+
+    ``bounds`` are added to those in the settings of each machine.
+    """
+
+    bounds: tuple[str, ...] = ()
 
     def __init__(self, environment: SoakEnvironment, log: Path) -> None:
         """Create an injector that writes each fault to a file at once."""
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -28,12 +28,15 @@
 class Arrival:
     """A request that a searcher with a matching id received and ran."""
 
-    def __init__(self, at, service, zone, searcher_id, request_id) -> None:
+    def __init__(
+        self, at, service, zone, searcher_id, request_id, version
+    ) -> None:
         self.at = at
         self.service = service
         self.zone = zone
         self.searcher_id = searcher_id
         self.request_id = request_id
+        self.version = version
 
 
 class InvariantChecker:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -14,6 +14,7 @@
 from types import MappingProxyType
 
 from tests.soak.driver import DiskFaultInjector, FaultInjector
+from tests.soak.rollouts import RolloutFaultInjector
 from tests.soak.world import SoakEnvironment
 
 # A seed uses the loopback addresses 127.0.BLOCK.1 and following.
@@ -24,7 +25,13 @@
 # Violations of one run that are printed.
 MAX_PRINTED_VIOLATIONS = 20
 FAILED_RUNS_FOLDER = Path('build/soak')
-INJECTORS = MappingProxyType({'all': FaultInjector, 'disk': DiskFaultInjector})
+INJECTORS = MappingProxyType(
+    {
+        'all': FaultInjector,
+        'disk': DiskFaultInjector,
+        'rollouts': RolloutFaultInjector,
+    }
+)
 
 
 async def async_run_seed(
@@ -39,7 +46,9 @@
     block = FIRST_BLOCK + seed % BLOCKS
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
-        async with SoakEnvironment(folder, block, seed) as environment:
+        async with SoakEnvironment(
+            folder, block, seed, injector.bounds
+        ) as environment:
             driver = injector(environment, folder / 'faults.log')
             try:
                 async with asyncio.timeout(seconds + MAX_END_SECONDS):
--- a/tests/soak/searchers.py
+++ b/tests/soak/searchers.py
@@ -32,6 +32,11 @@
 # Pauses of a searcher in seconds; one request in 50 is paused.
 PAUSES = (0.2, *(0 for _ in range(49)))
 PREFIX = 'x-snipejunction-'
+VERSION = 'v1'
+GOOD = 'good'
+BEHAVIOURS = (GOOD, 'failing', 'slow', 'failing on one route')
+SLOW_SECONDS = 0.15
+FAILING_ROUTE = '/u/'
 
 
 class Proxy:
@@ -112,9 +117,19 @@
     """Searcher at a fixed address; each restart gets a new searcher id."""
 
     def __init__(
-        self, number: int, service: str, zone: str, environment
+        self,
+        number: int,
+        service: str,
+        zone: str,
+        environment,
+        *,
+        version: str = VERSION,
+        behaviour: str = GOOD,
     ) -> None:
         self.number = number
+        self.version = version
+        self._behaviour = behaviour
+        self._is_retired = False
         self.service = service
         self.zone = zone
         self.proxy = Proxy()
@@ -132,7 +147,9 @@
         self._serving: set[asyncio.Task] = set()
 
     async def async_start(self) -> None:
-        """Start with a new id at the same address."""
+        """Start with a new id at the same address, unless it is retired."""
+        if self._is_retired:
+            return
         self._generation += 1
         self.searcher_id = f'i{self.number}-{self._generation}'
         self.state = 'ready'
@@ -157,6 +174,11 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    async def async_retire(self) -> None:
+        """Stop for good, without draining."""
+        self._is_retired = True
+        await self.async_crash()
+
     async def async_close(self) -> None:
         """Stop the searcher and its proxy and wait for open connections."""
         await self.async_crash()
@@ -221,7 +243,9 @@
                 'state': self.state,
                 'coldLeftMs': 0,
                 'sequence': sequence,
-                'born': self._generation,
+                # A later version starts later.
+                'born': self.number // 1000 * 1000 + self._generation,
+                'version': self.version,
             },
         ).encode()
 
@@ -246,13 +270,14 @@
                 fields = _parse_header_fields(head)
                 length = int(fields.get('content-length', 0))
                 await reader.readexactly(length)
-                writer.write(await self._async_answer(fields))
+                path = head.split(b' ', 2)[1].decode()
+                writer.write(await self._async_answer(fields, path))
         except (asyncio.IncompleteReadError, OSError):
             writer.close()
         finally:
             self._writers.discard(writer)
 
-    async def _async_answer(self, fields: dict[str, str]) -> bytes:
+    async def _async_answer(self, fields: dict[str, str], path: str) -> bytes:
         request_id = fields[f'{PREFIX}request-id']
         expected = fields.get(f'{PREFIX}expect-instance', self.searcher_id)
         echo = f'X-Snipejunction-Request-Id: {request_id}'
@@ -266,6 +291,7 @@
                 self.zone,
                 self.searcher_id,
                 request_id,
+                self.version,
             ),
         )
         self._check_rate()
@@ -273,6 +299,10 @@
         # Simulate an occasional pause.
         await asyncio.sleep(self._random.choice(PAUSES))
         self._served += 1
+        if self._behaviour == 'slow':
+            await asyncio.sleep(SLOW_SECONDS)
+        if self._is_failing(path):
+            return _format_response('500 Failed', b'', echo)
         signature = f'{self.searcher_id}.{self._served}'
         records = [os.urandom(RECORD_BYTES) for _ in range(3)]
         self._checker.records[signature] = (self.service, request_id, records)
@@ -281,6 +311,14 @@
             '200 OK', b''.join(records), echo, stamp, *self._limit_fields()
         )
 
+    def _is_failing(self, path: str) -> bool:
+        """Return whether this answer fails: half of those of bad versions."""
+        if self._behaviour == 'failing on one route':
+            is_concerned = path.startswith(FAILING_ROUTE)
+        else:
+            is_concerned = self._behaviour == 'failing'
+        return is_concerned and self._served % 2 == 0
+
     def _limit_fields(self) -> list[str]:
         """Return the header of an answer that states the rate, if any."""
         if self.stated_rate.rate == NEVER:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,6 +8,7 @@
 from testtools.matchers import Equals
 
 from tests.soak.driver import DiskFaultInjector, FaultInjector
+from tests.soak.rollouts import RolloutFaultInjector
 from tests.soak.run import async_run_seed
 
 SECONDS = 8
@@ -33,6 +34,10 @@
         """Mixed faults: kills, freezes, stops, disk losses and changes."""
         self.run_seed(4)
 
+    def test_rollouts(self) -> None:
+        """Roll-outs of good and bad versions beside the mixed faults."""
+        self.run_seed(501, RolloutFaultInjector)
+
     def test_reset_at_once(self) -> None:
         """Searchers reset connections as soon as they are open.
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -6,6 +6,7 @@
 import json
 import time
 from contextlib import AsyncExitStack
+from itertools import cycle
 from pathlib import Path
 from random import Random
 
@@ -76,13 +77,19 @@
 class SoakEnvironment:
     """Runs callers, operators and searchers against three machines."""
 
-    def __init__(self, folder: Path, block: int, seed: int) -> None:
+    def __init__(
+        self, folder: Path, block: int, seed: int, bounds: tuple[str, ...] = ()
+    ) -> None:
         self.random = Random(seed)
         self.checker = InvariantChecker()
         self.site = MachineGroup(folder, block)
+        for machine in self.site.machines:
+            machine.bounds.extend(bounds)
         self.sent: dict[int, bytes] = {}
         self.version = 0
         self.searchers: list[Searcher] = []
+        # Searchers of targets of roll-outs and of replaced versions.
+        self.targets: list[Searcher] = []
         # Start time of each planned stop in progress, by zone.
         self.stopping: dict[str, float] = {}
         self._stack = AsyncExitStack()
@@ -119,7 +126,8 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for searcher in self.searchers:
+        searchers = self.searchers + self.targets
+        for searcher in searchers:
             await searcher.async_close()
         await self._stack.aclose()
 
@@ -146,6 +154,12 @@
             await asyncio.sleep(0.1)
         self.checker.accepted = max(self.checker.accepted, version)
 
+    async def async_send_plain(self) -> None:
+        """Send requests on both routes of one service until cancelled."""
+        for machine in cycle(self.site.machines):
+            await self._async_send_pair(machine)
+            await asyncio.sleep(POLL_SECONDS)
+
     async def async_check_in_force(self) -> None:
         """Check that all machines serve the route of the last change."""
         start = self.now
@@ -262,6 +276,16 @@
             self.checker.refused_ids.append(request_id)
         return status, fields
 
+    async def _async_send_pair(self, machine: Machine) -> None:
+        path = f'/v{self.version}/x'
+        for method, sent_path, kind in (
+            ('GET', path, 'plain'),
+            ('POST', '/u/x', 'once'),
+        ):
+            self.checker.requests.append((self.now, (UNSAFE_SERVICE,)))
+            request_id = self._new_id(kind)
+            await self._async_send(machine, method, sent_path, request_id)
+
     async def _async_send_unsafe_requests(self) -> None:
         while True:
             machine = self.random.choice(self.site.machines)
