--- a/tests/soak/rollouts.py
+++ b/tests/soak/rollouts.py
@@ -71,8 +71,12 @@
 
 
 class RolloutFaultInjector(FaultInjector):
-    """Orders roll-outs of good and bad versions beside all other faults."""
+    """Orders roll-outs of good and bad versions beside all other faults.
 
+    Callers use both routes of a service equally often if traffic ``is_even``.
+    """
+
+    is_even = True
     bounds = (
         f'exposureShare = {EXPOSURE_SHARE}',
         f'exposureSlack = {EXPOSURE_SLACK}',
@@ -86,7 +90,8 @@
 
     async def async_run(self, seconds: float) -> None:
         """Inject faults; then check all roll-outs."""
-        plain = asyncio.ensure_future(self._environment.async_send_plain())
+        work = self._environment.async_send_plain(is_even=self.is_even)
+        plain = asyncio.ensure_future(work)
         async with AsyncExitStack() as stack:
             stack.callback(plain.cancel)
             await super().async_run(seconds)
@@ -185,3 +190,9 @@
             checker.add_violation(f'{rollout} is {state} again')
         rollout.state = state
         return state
+
+
+class UnevenRolloutFaultInjector(RolloutFaultInjector):
+    """The same with few requests on the route that bad versions fail on."""
+
+    is_even = False
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -14,7 +14,10 @@
 from types import MappingProxyType
 
 from tests.soak.driver import DiskFaultInjector, FaultInjector
-from tests.soak.rollouts import RolloutFaultInjector
+from tests.soak.rollouts import (
+    RolloutFaultInjector,
+    UnevenRolloutFaultInjector,
+)
 from tests.soak.world import SoakEnvironment
 
 # A seed uses the loopback addresses 127.0.BLOCK.1 and following.
@@ -30,6 +33,7 @@
         'all': FaultInjector,
         'disk': DiskFaultInjector,
         'rollouts': RolloutFaultInjector,
+        'rollouts-uneven': UnevenRolloutFaultInjector,
     }
 )
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -154,10 +154,13 @@
             await asyncio.sleep(0.1)
         self.checker.accepted = max(self.checker.accepted, version)
 
-    async def async_send_plain(self) -> None:
-        """Send requests on both routes of one service until cancelled."""
+    async def async_send_plain(self, *, is_even: bool) -> None:
+        """Send requests to one service until cancelled.
+
+        They are on both of its routes if ``is_even``, else on the safe one.
+        """
         for machine in cycle(self.site.machines):
-            await self._async_send_pair(machine)
+            await self._async_send_plain(machine, 2 if is_even else 1)
             await asyncio.sleep(POLL_SECONDS)
 
     async def async_check_in_force(self) -> None:
@@ -276,12 +279,10 @@
             self.checker.refused_ids.append(request_id)
         return status, fields
 
-    async def _async_send_pair(self, machine: Machine) -> None:
+    async def _async_send_plain(self, machine: Machine, routes: int) -> None:
         path = f'/v{self.version}/x'
-        for method, sent_path, kind in (
-            ('GET', path, 'plain'),
-            ('POST', '/u/x', 'once'),
-        ):
+        calls = (('GET', path, 'plain'), ('POST', '/u/x', 'once'))
+        for method, sent_path, kind in calls[:routes]:
             self.checker.requests.append((self.now, (UNSAFE_SERVICE,)))
             request_id = self._new_id(kind)
             await self._async_send(machine, method, sent_path, request_id)
