Requests wait for room at searchers instead of being refused

Cause: a request for which too few searchers could be asked at its first moment was refused with one fixed Retry-After; a part that all searchers turned away was lost. Change: a run that queues within a quarter of its objective, sends missing parts when room comes, gives up a gathered query whose least share is lost, and holds hedges that add to an overload; on with customers or has_queue.

--- a/snipejunction/components/gateway/document.py
+++ b/snipejunction/components/gateway/document.py
@@ -176,11 +176,13 @@
 
     ``shard_services`` holds the services that are shards of any route.
     ``customers_by_digest`` maps the SHA-256 of each key to its customer;
-    without customers, requests need no key.
+    without customers, requests need no key. Requests wait for room at
+    searchers if there are customers or the document ``has_queue``.
     """
 
     __slots__ = (
         'customers_by_digest',
+        'has_queue',
         'limits',
         'routes',
         'services',
@@ -195,8 +197,11 @@
         services: dict[str, Service],
         limits: CallerLimits,
         customers: tuple[Customer, ...] = (),
+        *,
+        has_queue: bool = False,
     ) -> None:
         """Create a document; ``services`` maps names to services."""
+        self.has_queue = has_queue or bool(customers)
         self.version = version
         self.routes = routes
         self.services = services
--- a/snipejunction/components/gateway/tables.py
+++ b/snipejunction/components/gateway/tables.py
@@ -16,6 +16,7 @@
 from snipejunction.components.gateway.timing import QuantileWindow
 from snipejunction.components.gateway.limit_sharing import LimitSharing
 from snipejunction.components.gateway.upstreams import Upstream
+from snipejunction.components.scheduling.tables import SchedulingTable
 
 
 class RelayTable:
@@ -58,6 +59,7 @@
     """
 
     __slots__ = (
+        '_scheduling',
         '_sharing',
         'active',
         'budgets',
@@ -112,6 +114,7 @@
         self.budgets: dict[str, RepeatBudget] = {}
         self.latencies: dict[str, QuantileWindow] = {}
         self._sharing = LimitSharing(name)
+        self._scheduling = SchedulingTable()
 
     @property
     def region(self) -> str:
@@ -123,6 +126,11 @@
         """Return which hosts share the bounds of searchers and services."""
         return self._sharing
 
+    @property
+    def scheduling(self) -> SchedulingTable:
+        """Return the requests that wait for room and the refused ones."""
+        return self._scheduling
+
     @property
     def controls(self) -> dict[str, str]:
         """Return a map from all known control hosts to data centres."""
--- a/snipejunction/components/gateway/upstreams.py
+++ b/snipejunction/components/gateway/upstreams.py
@@ -47,7 +47,8 @@
     of the route, ``failure_rate`` that of its failures; both decay while
     nothing is sent. ``stalled_at`` is when an attempt became late, None once
     the searcher answered again. ``stated_limit`` is the request rate that it
-    states for all hosts together, ``NEVER`` without one.
+    states for all hosts together, ``NEVER`` without one. It is taken for full
+    until ``full_until``.
     """
 
     __slots__ = (
@@ -56,6 +57,7 @@
         '_sampled_at',
         '_slowness',
         'allowance',
+        'full_until',
         'in_flight',
         'last_cold_send',
         'refused_until',
@@ -70,6 +72,7 @@
         self.last_cold_send = 0.0
         self.stalled_at: float | None = None
         self.refused_until = 0.0
+        self.full_until = 0.0
         self.stated_limit = NEVER
         self.allowance = Allowance(now)
         self._refusals = 0
--- /dev/null
+++ b/snipejunction/components/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Waiting, refusing and placing when searchers have too little room."""
--- a/snipejunction/edge/gateway/forwarding.py
+++ b/snipejunction/edge/gateway/forwarding.py
@@ -41,6 +41,16 @@
 _MILLISECONDS: Final = 1000
 
 
+class RoomHooks(Protocol):
+    """Interface of what lets waiting requests use room."""
+
+    def on_room(self) -> None:
+        """Let waiting requests use the room of an attempt that ended."""
+
+    def restart_if_overtaken(self, forwarded: ForwardedRequest) -> bool:
+        """Start a request again if a newer document came while it waited."""
+
+
 class ForwardingHooks(Protocol):
     """Interface of the host that owns the requests."""
 
@@ -53,6 +63,10 @@
     def relay_calls(self) -> RelayCalls:
         """Return the relay calls to other entry hosts."""
 
+    @property
+    def waiting(self) -> RoomHooks:
+        """Return what lets waiting requests use room."""
+
     def log(self, event: LogEvent) -> None:
         """Write an event to the log."""
 
@@ -100,11 +114,31 @@
         self._is_disconnected = False
         request.on_disconnect = self._handle_disconnect
 
+    @property
+    def run(self) -> RequestRun:
+        """Return the control of the request."""
+        return self._run
+
     def start(self) -> None:
         """Send the first attempts."""
         self._execute(self._run.start(self._loop.time()))
         self._respond_or_wait()
 
+    def resume(self) -> None:
+        """Send what waits for room, if there is any by now."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._advance()
+
+    def withdraw(self) -> CallerRequest:
+        """Drop this run, of which nothing was sent; return its request."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._run.is_abandoned = True
+        self._hooks.on_request_done(self)
+        return self._request
+
     def abort(self, detail: str) -> None:
         """Answer at once and cancel all open attempts, as the host stops."""
         self._run.end(self._loop.time())
@@ -113,6 +147,8 @@
 
     def _advance(self) -> None:
         self._timer = None
+        if self._hooks.waiting.restart_if_overtaken(self):
+            return
         self._execute(self._run.advance(self._loop.time()))
         self._respond_or_wait()
 
@@ -122,6 +158,7 @@
             self._run.handle_outcome(attempt, outcome, self._loop.time())
         )
         self._respond_or_wait()
+        self._hooks.waiting.on_room()
 
     def _execute(self, commands: Iterable[Command]) -> None:
         for command in commands:
@@ -171,6 +208,7 @@
         now = self._loop.time()
         self._execute(self._run.handle_merged(relay, outcomes, now))
         self._respond_or_wait()
+        self._hooks.waiting.on_room()
 
     def _respond_or_wait(self) -> None:
         if self._is_disconnected:
--- a/snipejunction/edge/gateway/gateway_host.py
+++ b/snipejunction/edge/gateway/gateway_host.py
@@ -17,7 +17,6 @@
     drop_gone_searchers,
 )
 from snipejunction.components.gateway.readiness import is_prepared
-from snipejunction.components.gateway.run import RequestRun
 from snipejunction.components.gateway.stated_limits import ReportLimits
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.edge.event_log import EventLog
@@ -36,6 +35,7 @@
 from snipejunction.edge.gateway.relays import Relays
 from snipejunction.edge.gateway.searcher_pool import SearcherPool
 from snipejunction.edge.gateway.service_metrics import Gauges, ServiceMetrics
+from snipejunction.edge.gateway.waiting_requests import WaitingRequests
 from snipejunction.edge.keys import PeerKeys
 from snipejunction.edge.peers import async_listen
 from snipejunction.edge.receive_budget import ReceiveBudget
@@ -101,6 +101,9 @@
             lambda: self.link.peers.check.late_seconds,
         )
         self.metrics = ServiceMetrics()
+        self.waiting: Final = WaitingRequests(
+            self.table, self.log, self._handle_request, loop
+        )
         self.caller_server: Final = HttpServer(
             self._handle_request,
             loop,
@@ -154,6 +157,7 @@
             stack.callback(server.close)
             stack.callback(self.link.stop_heartbeats)
             stack.callback(self._stop_expiry)
+            stack.callback(self.waiting.close)
             stack.callback(self.caller_server.close)
             await self.caller_server.async_listen_when_free(
                 self._address, self.log
@@ -201,6 +205,7 @@
     def on_request_done(self, forwarded: ForwardedRequest) -> None:
         """Remove a request that was answered or whose caller left."""
         self._open_requests.discard(forwarded)
+        self.waiting.on_request_done(forwarded)
 
     def on_document_changed(self) -> None:
         """Apply the limits of the new deployment document."""
@@ -268,6 +273,7 @@
                 'Requests that were ever refused because of stated limits.',
                 table.sharing.refusals,
             ),
+            **self.waiting.gauges(),
             'attempts_open': (
                 'Requests at searchers.',
                 sum(upstream.in_flight for upstream in upstreams),
@@ -291,7 +297,9 @@
             ),
         }
 
-    def _handle_request(self, request: CallerRequest) -> None:
+    def _handle_request(
+        self, request: CallerRequest, waited: float = 0
+    ) -> None:
         document = self.table.document
         if document is None:
             self._refuse(request, _UNAVAILABLE, 'no document yet')
@@ -307,11 +315,11 @@
             self._refuse(request, _BAD_REQUEST, 'no request id')
             return
         now = self._loop.time()
-        request_run = RequestRun(
+        request_run = self.waiting.create_run(
             request_id.decode('latin-1'),
             route,
-            self.table,
-            now + self._effective_timeout(request, route.timeout),
+            document,
+            now + self._effective_timeout(request, route.timeout) - waited,
             now,
         )
         forwarded = ForwardedRequest(
@@ -319,6 +327,7 @@
         )
         self._open_requests.add(forwarded)
         forwarded.start()
+        self.waiting.add(forwarded, document.version)
 
     def _effective_timeout(
         self, request: CallerRequest, timeout: float
