--- a/snipejunction/components/gateway/upstreams.py
+++ b/snipejunction/components/gateway/upstreams.py
@@ -72,7 +72,7 @@
         self.last_cold_send = 0.0
         self.stalled_at: float | None = None
         self.refused_until = 0.0
-        self.full_until = 0.0
+        self.full_until = -NEVER
         self.stated_limit = NEVER
         self.allowance = Allowance(now)
         self._refusals = 0
--- a/snipejunction/components/scheduling/const.py
+++ b/snipejunction/components/scheduling/const.py
@@ -26,8 +26,13 @@
 # A searcher this many times slower than the median of a route is not worth a
 # second attempt if the first one is at a faster one.
 SLOW_RATIO: Final = 3.0
-# Repeats of each budget that only the most urgent requests may use.
-RESERVED_REPEATS: Final = 1
+# Share of the objective after which a hedge uses what was left to others: its
+# request would be late without it.
+LAST_HEDGE_SHARE: Final = 0.5
+# Repeats of each budget that hedges leave to parts that were turned away, and
+# those that they leave to the most urgent requests.
+RESERVED_RETRIES: Final = 2
+RESERVED_URGENT_REPEATS: Final = 1
 
 # Why a request is refused before anything of it was sent.
 REASON_QUEUE_FULL: Final = 'too many requests wait'
--- a/snipejunction/components/scheduling/hedging.py
+++ b/snipejunction/components/scheduling/hedging.py
@@ -9,7 +9,8 @@
 from typing import TYPE_CHECKING
 
 from snipejunction.components.scheduling.const import (
-    RESERVED_REPEATS,
+    RESERVED_RETRIES,
+    RESERVED_URGENT_REPEATS,
     SLOW_RATIO,
 )
 
@@ -29,9 +30,14 @@
 
 
 def reserved_repeats(priority: int, table: GatewayTable) -> int:
-    """Return the repeats that requests of a priority leave to others."""
+    """Return the repeats that hedges leave to others.
+
+    Those are for parts that a searcher turned away, without which a request
+    may be lost, and for more urgent requests.
+    """
     document = table.document
     if document is None:
-        return 0
+        return RESERVED_RETRIES
     highest = min((route.priority for route in document.routes), default=0)
-    return RESERVED_REPEATS if priority > highest else 0
+    is_urgent = priority <= highest
+    return RESERVED_RETRIES + (0 if is_urgent else RESERVED_URGENT_REPEATS)
--- a/snipejunction/components/scheduling/room.py
+++ b/snipejunction/components/scheduling/room.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from typing import TYPE_CHECKING
 
 from snipejunction.components.gateway.const import COLD_REQUESTS_PER_SECOND
@@ -49,9 +49,7 @@
     return median or route.objective * _UNMEASURED_SHARE
 
 
-def full_searcher_ids(
-    service: str, table: GatewayTable, now: float
-) -> set[str]:
+def full_searcher_ids(upstreams: Iterable[Upstream], now: float) -> set[str]:
     """Return the searchers that would turn a request away or keep it waiting.
 
     Those are full that said so within their service time, or that run as
@@ -59,12 +57,29 @@
     """
     return {
         upstream.searcher_id
-        for upstream in table.upstreams_by_service.get(service, {}).values()
+        for upstream in upstreams
         if now < upstream.full_until
         or upstream.in_flight >= max(1, upstream.record.slots)
     }
 
 
+def late_searcher_ids(
+    upstreams: Iterable[Upstream], full_ids: Collection[str], now: float
+) -> set[str]:
+    """Return the late searchers that are not worth it, beside full ones.
+
+    A full searcher that answers will have room before a late one answers.
+    """
+    late_ids = set()
+    has_full = False
+    for upstream in upstreams:
+        if upstream.is_stalled(now):
+            late_ids.add(upstream.searcher_id)
+        elif upstream.searcher_id in full_ids:
+            has_full = has_full or now >= upstream.refused_until
+    return late_ids if has_full else set()
+
+
 def find_room(
     services: Sequence[str],
     needed: int,
--- a/snipejunction/components/scheduling/run.py
+++ b/snipejunction/components/scheduling/run.py
@@ -32,6 +32,7 @@
     EVENT_PART_WAITS,
     EVENT_REQUEST_RESUMED,
     EVENT_REQUEST_WAITS,
+    LAST_HEDGE_SHARE,
     MAX_WAIT_SHARE,
     MIN_STEP_SECONDS,
     REASON_QUEUE_FULL,
@@ -48,6 +49,7 @@
     find_room,
     free_at,
     full_searcher_ids,
+    late_searcher_ids,
     service_seconds,
 )
 from snipejunction.components.scheduling.waiting import Waiting
@@ -70,6 +72,8 @@
 
     __slots__ = (
         '_has_gaps',
+        '_held_parts',
+        '_last_hedge_due',
         '_noted_parts',
         '_turned_away',
         '_wait_end',
@@ -93,6 +97,8 @@
             self.deadline - service_seconds(route, table),
         )
         self._has_gaps = False
+        self._held_parts: list[Part] = []
+        self._last_hedge_due = now + route.objective * LAST_HEDGE_SHARE
         self._turned_away: set[tuple[str, str]] = set()
         self._noted_parts: set[str] = set()
 
@@ -108,9 +114,15 @@
             yield from self._begin(now)
             return
         for part in self._missing_parts(now):
-            if self._free_at(part, now) <= now:
+            if self._free_at(part, now) > now:
+                continue
+            if part.attempts:
                 yield from self._send_repeat(part, 'part without room', now)
+            else:
+                yield from self._send_late(part, now)
         yield from super().advance(now)
+        if self._held_parts and now >= self._last_hedge_due:
+            yield from self._send_held(now)
 
     @property
     def _needed_parts(self) -> int:
@@ -150,6 +162,23 @@
         for part in self._missing_parts(now):
             yield from self._note_waiting_part(part, now)
 
+    def _send_held(self, now: float) -> Iterator[Command]:
+        """Send the hedges that were left to others, if still needed."""
+        held_parts = self._held_parts
+        self._held_parts = []
+        for part in held_parts:
+            if part.is_waiting:
+                yield from self._send_repeat(part, 'late part', now)
+        self._update_next_due(now)
+
+    def _send_late(self, part: Part, now: float) -> Iterator[Command]:
+        """Send a part that had no room when the others were sent."""
+        upstream = self._choose_upstream(part, now)
+        if upstream is not None:
+            self._table.budget(part.service).record_request(now)
+            attempt = self._create_attempt(part, upstream, now)
+            yield from self._send_attempts([attempt], now)
+
     def _wait_or_refuse(self, now: float) -> Iterator[Command]:
         """Queue a request of which nothing was sent, or refuse it."""
         queue = self._table.scheduling.queue
@@ -248,17 +277,28 @@
 
     def _choose_upstream(self, part: Part, now: float) -> Upstream | None:
         """Return a searcher that is not full, if any."""
-        full_ids = full_searcher_ids(part.service, self._table, now)
         return choose_upstream(
             part.service,
             self._route,
-            self._excluded_ids(part) | full_ids,
+            self._excluded_ids(part) | self._unfit_ids(part, now, is_now=True),
             self._table,
             now,
             is_hedge=bool(part.open_attempts),
             context=self._context,
         )
 
+    def _unfit_ids(self, part: Part, now: float, *, is_now: bool) -> set[str]:
+        """Return the searchers that are late, and if ``is_now`` full ones."""
+        upstreams = self._table.upstreams_by_service.get(part.service, {})
+        full_ids = full_searcher_ids(upstreams.values(), now)
+        if not full_ids:
+            return full_ids
+        excluded_ids = self._excluded_ids(part)
+        late_ids = late_searcher_ids(
+            upstreams.values(), full_ids - excluded_ids, now
+        )
+        return late_ids | full_ids if is_now else late_ids
+
     def _excluded_ids(self, part: Part) -> set[str]:
         """Return the searchers that have, may have or may still run a part."""
         return {
@@ -275,7 +315,7 @@
             part.service,
             self._route,
             self._context,
-            self._excluded_ids(part),
+            self._excluded_ids(part) | self._unfit_ids(part, now, is_now=False),
             self._table,
             now,
         )
@@ -322,22 +362,27 @@
     def _send_repeat(
         self, part: Part, reason: str, now: float
     ) -> Iterator[Command]:
+        objection = ''
         if part.open_attempts:
             objection = self._hedge_objection(part, now)
-            if objection:
-                yield LogEvent(
-                    EVENT_HEDGE_HELD,
-                    request=self.request_id,
-                    service=part.service,
-                    reason=objection,
-                )
-                return
-        yield from super()._send_repeat(part, reason, now)
+        if not objection:
+            yield from super()._send_repeat(part, reason, now)
+            return
+        if now < self._last_hedge_due:
+            self._held_parts.append(part)
+        yield LogEvent(
+            EVENT_HEDGE_HELD,
+            request=self.request_id,
+            service=part.service,
+            reason=objection,
+        )
 
     def _hedge_objection(self, part: Part, now: float) -> str:
         if self._table.scheduling.queue.is_wanted(part.service, self):
             return 'others wait for room there'
-        reserved = reserved_repeats(self._context.priority, self._table)
+        reserved = 0
+        if now < self._last_hedge_due:
+            reserved = reserved_repeats(self._context.priority, self._table)
         if self._budget_left(part, now) < 1 + reserved:
             return 'the budget is left to more urgent requests'
         target = self._choose_upstream(part, now)
@@ -360,6 +405,9 @@
 
     def _update_next_due(self, now: float) -> None:
         super()._update_next_due(now)
+        if self._held_parts:
+            due = max(self._last_hedge_due, now + MIN_STEP_SECONDS)
+            self._next_due = min(self._next_due, due)
         missing = self._missing_parts(now)
         queue = self._table.scheduling.queue
         if missing:
