--- a/snipejunction/components/scheduling/const.py
+++ b/snipejunction/components/scheduling/const.py
@@ -11,7 +11,7 @@
 # in time elsewhere.
 MAX_WAIT_SHARE: Final = 0.25
 # Requests that wait at one host.
-MAX_WAITING: Final = 64
+MAX_WAITING: Final = 16
 # Time after which a waiting request counts as one priority higher, in seconds.
 AGEING_SECONDS: Final = 1.0
 # Half-life of the work that a customer was served, in seconds.
@@ -34,15 +34,28 @@
 RESERVED_RETRIES: Final = 2
 RESERVED_URGENT_REPEATS: Final = 1
 
+# A host sends at most this many times the requests of a route that get an
+# answer and a few more, and refuses no more than a share of them, so that it
+# learns of room.
+THROTTLE_RATIO: Final = 2.0
+THROTTLE_SLACK: Final = 1.0
+MAX_THROTTLE_SHARE: Final = 0.9
+# Half-life of what it counted, in seconds: as long as a burst may last.
+THROTTLE_HALF_LIFE_SECONDS: Final = 3.0
+# Waiting requests that are tried when an attempt ends: it leaves room for few.
+MAX_TRIED: Final = 4
+
 # Why a request is refused before anything of it was sent.
 REASON_QUEUE_FULL: Final = 'too many requests wait'
 REASON_TOO_LATE: Final = 'room comes too late'
 REASON_WAITED: Final = 'no room came'
+REASON_TURNED_AWAY: Final = 'searchers turn requests away'
 REASON_STOPPING: Final = 'this host stops'
 REFUSAL_REASONS: Final = (
     REASON_QUEUE_FULL,
     REASON_TOO_LATE,
     REASON_WAITED,
+    REASON_TURNED_AWAY,
     REASON_STOPPING,
 )
 
--- a/snipejunction/components/scheduling/hedging.py
+++ b/snipejunction/components/scheduling/hedging.py
@@ -39,5 +39,6 @@
     if document is None:
         return RESERVED_RETRIES
     highest = min((route.priority for route in document.routes), default=0)
-    is_urgent = priority <= highest
-    return RESERVED_RETRIES + (0 if is_urgent else RESERVED_URGENT_REPEATS)
+    if priority <= highest:
+        return RESERVED_RETRIES
+    return RESERVED_RETRIES + RESERVED_URGENT_REPEATS
--- a/snipejunction/components/scheduling/orders.py
+++ b/snipejunction/components/scheduling/orders.py
@@ -1,4 +1,4 @@
-"""Orders of waiting requests; the smallest rank goes first."""
+"""Order of waiting requests; the smallest rank goes first."""
 
 from __future__ import annotations
 
@@ -10,20 +10,7 @@
     from snipejunction.components.scheduling.waiting import Waiting
 
 
-def by_priority(waiting: Waiting, now: float) -> tuple[float, float]:
-    """Rank by priority, first come first served within one."""
-    return waiting.priority, waiting.since
-
-
-def by_deadline(waiting: Waiting, now: float) -> tuple[float, float]:
-    """Rank by the time left."""
-    return waiting.deadline, waiting.since
-
-
-def by_value(waiting: Waiting, now: float) -> tuple[float, float, float]:
+def rank_by_value(waiting: Waiting, now: float) -> tuple[float, float, float]:
     """Rank by priority with ageing, then by the work that is needed."""
     age = int((now - waiting.since) / AGEING_SECONDS)
     return waiting.priority - age, waiting.work, waiting.since
-
-
-RANK = by_value
--- a/snipejunction/components/scheduling/run.py
+++ b/snipejunction/components/scheduling/run.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterator
 from typing import Final
 
@@ -38,8 +37,13 @@
     REASON_QUEUE_FULL,
     REASON_STOPPING,
     REASON_TOO_LATE,
+    REASON_TURNED_AWAY,
     REASON_WAITED,
 )
+from snipejunction.components.scheduling.giving_up import (
+    is_lost,
+    needed_parts,
+)
 from snipejunction.components.scheduling.hedging import (
     hedge_objection,
     reserved_repeats,
@@ -58,7 +62,6 @@
 _MS_PER_SECOND: Final = 1000
 # Services that an event names; it counts the others.
 _MAX_NAMED: Final = 3
-_ROUNDING_ERROR: Final = 1e-9
 # Searchers that turned a part away, and may be asked again later.
 _TURNED_AWAY: Final = frozenset((OutcomeKind.SHED, OutcomeKind.REFUSED))
 
@@ -104,6 +107,14 @@
 
     def start(self, now: float) -> Iterator[Command]:
         """Send the parts that have room, wait for it or refuse."""
+        throttle = self._table.scheduling.throttle(self._route.name, now)
+        share = throttle.refused_share(now)
+        throttle.count_received(now)
+        if share and self._table.random.random() < share:
+            throttle.count_turned_away(now)
+            room = Room(NEVER, service_seconds(self._route, self._table))
+            yield self._refuse_waiting(REASON_TURNED_AWAY, room, 0, now)
+            return
         yield from self._begin(now)
 
     def advance(self, now: float) -> Iterator[Command]:
@@ -124,14 +135,6 @@
         if self._held_parts and now >= self._last_hedge_due:
             yield from self._send_held(now)
 
-    @property
-    def _needed_parts(self) -> int:
-        """Return the least number of parts that make an answer."""
-        if not self._route.shards:
-            return 1
-        share = self._route.min_share * len(self.parts)
-        return max(1, math.ceil(share - _ROUNDING_ERROR))
-
     def _begin(self, now: float) -> Iterator[Command]:
         chosen = [
             (part, upstream)
@@ -185,7 +188,7 @@
         waiting = self._make_waiting(self.parts)
         room = find_room(
             [part.service for part in self.parts],
-            self._needed_parts,
+            needed_parts(self._route, len(self.parts)),
             self._route,
             self._context,
             self._table,
@@ -208,7 +211,7 @@
             return
         queue.add(waiting)
         self._next_due = min(
-            self._wait_end, max(room.ready_at, now + MIN_STEP_SECONDS)
+            self._wait_end, max(ready_at, now + MIN_STEP_SECONDS * (1 + ahead))
         )
         if not self.is_queued:
             self.is_queued = True
@@ -262,7 +265,6 @@
             frozenset(part.service for part in parts),
             len(parts) * service_seconds(self._route, self._table),
             self._started,
-            self.deadline,
         )
 
     def _describe_short_services(self, now: float) -> str:
@@ -429,8 +431,8 @@
             return
         if self._has_gaps and not is_ending and now < self.deadline:
             missing = self._missing_parts(now)
-            if self._is_lost(len(missing)):
-                self._give_up()
+            if is_lost(self._route, self.parts, len(missing)):
+                self._give_up(now)
                 return
             is_due = now >= self._partial_answer_due
             is_enough = is_due and self._has_enough_parts(self.covered)
@@ -440,15 +442,10 @@
         if self.answer is not None:
             self._table.scheduling.queue.remove(self)
 
-    def _is_lost(self, missing: int) -> bool:
-        """Return whether too few parts are left for any answer."""
-        if not self._route.shards:
-            return False
-        running = sum(part.is_waiting for part in self.parts)
-        return self.covered + running + missing < self._needed_parts
-
-    def _give_up(self) -> None:
+    def _give_up(self, now: float) -> None:
         scheduling = self._table.scheduling
+        if self._turned_away:
+            scheduling.throttle(self._route.name, now).count_turned_away(now)
         scheduling.given_up += 1
         scheduling.queue.remove(self)
         answer = make_failure(self._route, self.parts, is_past_deadline=False)
--- a/snipejunction/components/scheduling/tables.py
+++ b/snipejunction/components/scheduling/tables.py
@@ -5,6 +5,7 @@
 from collections import Counter
 
 from snipejunction.components.scheduling.refusing import RefusalTurns
+from snipejunction.components.scheduling.throttling import RouteThrottle
 from snipejunction.components.scheduling.waiting import WaitingQueue
 
 
@@ -15,7 +16,7 @@
     ended early because too many parts were lost.
     """
 
-    __slots__ = ('given_up', 'queue', 'refused', 'turns')
+    __slots__ = ('given_up', 'queue', 'refused', 'throttles', 'turns')
 
     def __init__(self) -> None:
         """Create a table of a host where nothing waits."""
@@ -23,3 +24,12 @@
         self.turns = RefusalTurns()
         self.refused: Counter[str] = Counter()
         self.given_up = 0
+        self.throttles: dict[str, RouteThrottle] = {}
+
+    def throttle(self, route: str, now: float) -> RouteThrottle:
+        """Return the throttle of a route, creating it if needed."""
+        throttle = self.throttles.get(route)
+        if throttle is None:
+            throttle = RouteThrottle(now)
+            self.throttles[route] = throttle
+        return throttle
--- a/snipejunction/components/scheduling/waiting.py
+++ b/snipejunction/components/scheduling/waiting.py
@@ -14,7 +14,7 @@
     MAX_WAITING,
     SERVED_HALF_LIFE_SECONDS,
 )
-from snipejunction.components.scheduling.orders import RANK
+from snipejunction.components.scheduling.orders import rank_by_value
 
 if TYPE_CHECKING:
     from snipejunction.components.scheduling.run import ScheduledRun
@@ -28,12 +28,11 @@
     """A request that waits; times are in monotonic seconds.
 
     ``services`` are those with a part to send. ``work`` is the time that its
-    parts need at searchers, in seconds, ``deadline`` its end.
+    parts need at searchers, in seconds.
     """
 
     __slots__ = (
         'customer',
-        'deadline',
         'priority',
         'run',
         'services',
@@ -49,7 +48,6 @@
         services: frozenset[str],
         work: float,
         since: float,
-        deadline: float,
     ) -> None:
         """Create an entry of a request."""
         self.run = run
@@ -58,7 +56,6 @@
         self.services = services
         self.work = work
         self.since = since
-        self.deadline = deadline
 
 
 class ServedWork:
@@ -144,12 +141,12 @@
 
     def _order(self, entries: list[Waiting], now: float) -> list[Waiting]:
         """Order requests; those of a customer go behind each other."""
-        entries.sort(key=lambda entry: RANK(entry, now))
+        entries.sort(key=lambda entry: rank_by_value(entry, now))
         places: Counter[str] = Counter()
         keys = {}
         for entry in entries:
             places[entry.customer] += bool(entry.customer)
-            rank = RANK(entry, now)
+            rank = rank_by_value(entry, now)
             served = self.served.of(entry.customer, now)
             place = places[entry.customer]
             keys[entry] = (rank[0], place, served, *rank[1:])
--- a/snipejunction/edge/gateway/waiting_requests.py
+++ b/snipejunction/edge/gateway/waiting_requests.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Final
 
 from snipejunction.commands import LogEvent
 from snipejunction.components.gateway.context import RequestContext
@@ -13,6 +12,7 @@
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.components.scheduling.const import (
     EVENT_REQUEST_OVERTAKEN,
+    MAX_TRIED,
     MIN_STEP_SECONDS,
     REFUSAL_REASONS,
 )
@@ -21,9 +21,6 @@
 from snipejunction.edge.gateway.forwarding import ForwardedRequest
 from snipejunction.edge.gateway.service_metrics import Gauges
 
-# Waiting requests that are tried when an attempt ends: it leaves room for few.
-_MAX_TRIED: Final = 4
-
 
 class WaitingRequests:
     """The forwarded requests of a host whose runs may wait.
@@ -141,7 +138,7 @@
         self._timer = None
         now = self._loop.time()
         runs = list(self._table.scheduling.queue.ordered(now))
-        for run in runs[:_MAX_TRIED]:
+        for run in runs[:MAX_TRIED]:
             known = self._by_run.get(run)
             if known is not None:
                 known[0].resume()
--- a/tests/components/scheduling/replay.py
+++ b/tests/components/scheduling/replay.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 from functools import partial
 from random import Random
+from types import MappingProxyType
 
 from snipejunction.commands import Command, LogEvent
 from snipejunction.components.gateway.context import RequestContext
@@ -16,6 +17,8 @@
 from snipejunction.components.gateway.replies import Outcome, OutcomeKind, Reply
 from snipejunction.components.gateway.run import RequestRun
 from snipejunction.components.gateway.tables import GatewayTable
+from snipejunction.components.registration.const import GONE
+from snipejunction.components.scheduling.const import MAX_TRIED
 from snipejunction.components.scheduling.run import ScheduledRun
 from tests.components.gateway.stage import (
     install_document,
@@ -37,7 +40,7 @@
     'urgent', shards=SHARDS, timeout=1.0, objective=0.12, min_share=0.8
 )
 LOOKUP = make_route('lookup', priority=2, timeout=3.0, objective=0.8)
-WORK = {'full': 0.03, 'urgent': 0.01, 'lookup': 0.15}
+WORK = MappingProxyType({'full': 0.03, 'urgent': 0.01, 'lookup': 0.15})
 
 
 class Searcher:
@@ -123,6 +126,11 @@
         )
         return earned / owed
 
+    @property
+    def work_per_answer(self) -> float:
+        """Return the time of searchers for each answer in time."""
+        return self.work / max(1, self.in_time.total())
+
     def after(self, seconds: float, action: Callable[[], None]) -> None:
         """Run an action later."""
         entry = (self.now + seconds, next(self._numbers), action)
@@ -152,10 +160,17 @@
             self.after(since, partial(setattr, searcher, 'factor', factor))
             self.after(until, partial(setattr, searcher, 'factor', 1.0))
 
+    def lose(self, names: Iterable[str]) -> None:
+        """Let searchers be gone, as all hosts know."""
+        for name in names:
+            for table in self.tables:
+                table.upstreams[name].record.state = GONE
+
     def play(self) -> None:
         """Run until nothing is left to do."""
         while self._heap:
-            self.now, _, action = heapq.heappop(self._heap)
+            when, _, action = heapq.heappop(self._heap)
+            self.now = when
             action()
 
     def make_run(
@@ -268,7 +283,8 @@
             outcome = Outcome(OutcomeKind.ANSWERED, reply)
         now = self._replay.now
         self._execute(self._run.handle_outcome(attempt, outcome, now))
-        for run in list(self._table.scheduling.queue.ordered(now)):
+        runs = list(self._table.scheduling.queue.ordered(now))
+        for run in runs[:MAX_TRIED]:
             self._replay.tries[run].advance()
 
     def _execute(self, commands: Iterable[Command]) -> None:
