--- a/snipejunction/components/scheduling/run.py
+++ b/snipejunction/components/scheduling/run.py
@@ -454,4 +454,5 @@
 
 
 def _milliseconds(seconds: float) -> float:
-    return round(seconds * _MS_PER_SECOND, 1)
+    """Return milliseconds for the log, -1 for never."""
+    return round(seconds * _MS_PER_SECOND, 1) if seconds < NEVER else -1
--- a/snipejunction/edge/gateway/forwarding.py
+++ b/snipejunction/edge/gateway/forwarding.py
@@ -135,7 +135,8 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        self._run.is_abandoned = True
+        run = self._run
+        run.is_abandoned = True
         self._hooks.on_request_done(self)
         return self._request
 
