--- a/snipejunction/components/gateway/tables.py
+++ b/snipejunction/components/gateway/tables.py
@@ -17,6 +17,7 @@
 from snipejunction.components.gateway.limit_sharing import LimitSharing
 from snipejunction.components.gateway.upstreams import Upstream
 from snipejunction.components.rollouts.trials import TrialTable
+from snipejunction.components.scheduling.tables import SchedulingTable
 
 
 class RelayTable:
@@ -60,6 +61,7 @@
 
     __slots__ = (
         '_rollouts',
+        '_scheduling',
         '_sharing',
         'active',
         'budgets',
@@ -115,6 +117,7 @@
         self.latencies: dict[str, QuantileWindow] = {}
         self._sharing = LimitSharing(name)
         self._rollouts = TrialTable()
+        self._scheduling = SchedulingTable()
 
     @property
     def region(self) -> str:
@@ -131,6 +134,11 @@
         """Return the roll-outs and the current versions of services."""
         return self._rollouts
 
+    @property
+    def scheduling(self) -> SchedulingTable:
+        """Return the requests that wait for room and the refused ones."""
+        return self._scheduling
+
     @property
     def controls(self) -> dict[str, str]:
         """Return a map from all known control hosts to data centres."""
--- /dev/null
+++ b/snipejunction/components/scheduling/tables.py
@@ -0,0 +1,35 @@
+"""What an entry host keeps about requests that wait or were refused."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from snipejunction.components.scheduling.refusing import RefusalTurns
+from snipejunction.components.scheduling.throttling import RouteThrottle
+from snipejunction.components.scheduling.waiting import WaitingQueue
+
+
+class SchedulingTable:
+    """The waiting requests of an entry host and what it refused.
+
+    ``refused`` counts refusals by reason, ``given_up`` the requests that
+    ended early because too many parts were lost.
+    """
+
+    __slots__ = ('given_up', 'queue', 'refused', 'throttles', 'turns')
+
+    def __init__(self) -> None:
+        """Create a table of a host where nothing waits."""
+        self.queue = WaitingQueue()
+        self.turns = RefusalTurns()
+        self.refused: Counter[str] = Counter()
+        self.given_up = 0
+        self.throttles: dict[str, RouteThrottle] = {}
+
+    def throttle(self, route: str, now: float) -> RouteThrottle:
+        """Return the throttle of a route, creating it if needed."""
+        throttle = self.throttles.get(route)
+        if throttle is None:
+            throttle = RouteThrottle(now)
+            self.throttles[route] = throttle
+        return throttle
--- a/snipejunction/edge/gateway/forwarding.py
+++ b/snipejunction/edge/gateway/forwarding.py
@@ -42,6 +42,16 @@
 _MILLISECONDS: Final = 1000
 
 
+class RoomHooks(Protocol):
+    """Interface of what lets waiting requests use room."""
+
+    def on_room(self) -> None:
+        """Let waiting requests use the room of an attempt that ended."""
+
+    def restart_if_overtaken(self, forwarded: ForwardedRequest) -> bool:
+        """Start a request again if a newer document came while it waited."""
+
+
 class ForwardingHooks(Protocol):
     """Interface of the host that owns the requests."""
 
@@ -54,6 +64,10 @@
     def relay_calls(self) -> RelayCalls:
         """Return the relay calls to other entry hosts."""
 
+    @property
+    def waiting(self) -> RoomHooks:
+        """Return what lets waiting requests use room."""
+
     def log(self, event: LogEvent) -> None:
         """Write an event to the log."""
 
@@ -116,11 +130,32 @@
         is_refused = answer is not None and bool(answer.retry_after)
         return self._customer if is_refused else ''
 
+    @property
+    def run(self) -> RequestRun:
+        """Return the control of the request."""
+        return self._run
+
     def start(self) -> None:
         """Send the first attempts."""
         self._execute(self._run.start(self._loop.time()))
         self._respond_or_wait()
 
+    def resume(self) -> None:
+        """Send what waits for room, if there is any by now."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._advance()
+
+    def withdraw(self) -> CallerRequest:
+        """Drop this run, of which nothing was sent; return its request."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        run = self._run
+        run.is_abandoned = True
+        self._hooks.on_request_done(self)
+        return self._request
+
     def abort(self, detail: str) -> None:
         """Answer at once and cancel all open attempts, as the host stops."""
         self._run.end(self._loop.time())
@@ -129,6 +164,8 @@
 
     def _advance(self) -> None:
         self._timer = None
+        if self._hooks.waiting.restart_if_overtaken(self):
+            return
         self._execute(self._run.advance(self._loop.time()))
         self._respond_or_wait()
 
@@ -138,6 +175,7 @@
             self._run.handle_outcome(attempt, outcome, self._loop.time())
         )
         self._respond_or_wait()
+        self._hooks.waiting.on_room()
 
     def _execute(self, commands: Iterable[Command]) -> None:
         for command in commands:
@@ -187,6 +225,7 @@
         now = self._loop.time()
         self._execute(self._run.handle_merged(relay, outcomes, now))
         self._respond_or_wait()
+        self._hooks.waiting.on_room()
 
     def _respond_or_wait(self) -> None:
         if self._is_disconnected:
--- a/snipejunction/edge/gateway/gateway_host.py
+++ b/snipejunction/edge/gateway/gateway_host.py
@@ -17,7 +17,6 @@
     drop_gone_searchers,
 )
 from snipejunction.components.gateway.readiness import is_prepared
-from snipejunction.components.gateway.run import RequestRun
 from snipejunction.components.gateway.stated_limits import ReportLimits
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.edge.event_log import EventLog
@@ -37,6 +36,7 @@
 from snipejunction.edge.gateway.relays import Relays
 from snipejunction.edge.gateway.searcher_pool import SearcherPool
 from snipejunction.edge.gateway.service_metrics import Gauges, ServiceMetrics
+from snipejunction.edge.gateway.waiting_requests import WaitingRequests
 from snipejunction.edge.keys import PeerKeys
 from snipejunction.edge.peers import async_listen
 from snipejunction.edge.receive_budget import ReceiveBudget
@@ -103,6 +103,9 @@
             lambda: self.link.peers.check.late_seconds,
         )
         self.metrics = ServiceMetrics()
+        self.waiting: Final = WaitingRequests(
+            self.table, self.log, self._handle_request, loop
+        )
         self.caller_server: Final = HttpServer(
             self._handle_request,
             loop,
@@ -157,6 +160,7 @@
             stack.callback(self.link.stop_heartbeats)
             stack.callback(self._stop_expiry)
             stack.callback(self._relays.quotas.close)
+            stack.callback(self.waiting.close)
             stack.callback(self.caller_server.close)
             await self.caller_server.async_listen_when_free(
                 self._address, self.log
@@ -205,6 +209,7 @@
         """Remove a request that was answered or whose caller left."""
         self._open_requests.discard(forwarded)
         self._relays.quotas.give_back(forwarded.refused_customer)
+        self.waiting.on_request_done(forwarded)
 
     def on_document_changed(self) -> None:
         """Apply the limits of the new deployment document."""
@@ -286,6 +291,7 @@
                 'Bad answers of the targets of open roll-outs.',
                 sum(trial.evidence.target_bad for trial in trials),
             ),
+            **self.waiting.gauges(),
             'attempts_open': (
                 'Requests at searchers.',
                 sum(upstream.in_flight for upstream in upstreams),
@@ -310,7 +316,9 @@
             ),
         }
 
-    def _handle_request(self, request: CallerRequest) -> None:
+    def _handle_request(
+        self, request: CallerRequest, waited: float = 0
+    ) -> None:
         document = self.table.document
         if document is None:
             self._refuse(request, _UNAVAILABLE, 'no document yet')
@@ -329,14 +337,16 @@
         if not request_id:
             self._refuse(request, _BAD_REQUEST, 'no request id')
             return
-        if not self._relays.quotas.admit(request, context.customer):
+        # A request that waited is admitted already.
+        quotas = self._relays.quotas
+        if not waited and not quotas.admit(request, context.customer):
             return
         now = self._loop.time()
-        request_run = RequestRun(
+        request_run = self.waiting.create_run(
             request_id.decode('latin-1'),
             route,
-            self.table,
-            now + self._effective_timeout(request, route.timeout),
+            document,
+            now + self._effective_timeout(request, route.timeout) - waited,
             now,
             context,
         )
@@ -345,6 +355,7 @@
         )
         self._open_requests.add(forwarded)
         forwarded.start()
+        self.waiting.add(forwarded, document.version)
 
     def _effective_timeout(
         self, request: CallerRequest, timeout: float
