--- a/snipejunction/components/gateway/document.py
+++ b/snipejunction/components/gateway/document.py
@@ -182,11 +182,14 @@
     ``customers`` maps names to customers. A document that lists them, even
     none, ``needs_keys`` in requests.
     ``customers_by_digest`` maps the SHA-256 of each key to its customer.
+    Requests wait for room at searchers if there are customers or the document
+    ``has_queue``.
     """
 
     __slots__ = (
         'customers',
         'customers_by_digest',
+        'has_queue',
         'limits',
         'needs_keys',
         'routes',
@@ -202,11 +205,14 @@
         services: dict[str, Service],
         limits: CallerLimits,
         customers: tuple[Customer, ...] | None = None,
+        *,
+        has_queue: bool = False,
     ) -> None:
         """Create a document; ``services`` maps names to services.
 
         ``customers`` is None if it does not list customers.
         """
+        self.has_queue = has_queue or bool(customers)
         self.version = version
         self.routes = routes
         self.services = services
--- a/snipejunction/components/gateway/run.py
+++ b/snipejunction/components/gateway/run.py
@@ -133,15 +133,12 @@
 
     def start(self, now: float) -> Iterator[Command]:
         """Send each part to one searcher, or refuse the request."""
-        chosen: list[tuple[Part, Upstream]] = []
-        tries = MAX_TARGET_PARTS
-        for part in self.parts:
-            upstream = self._choose_upstream(part, now, tries_target=tries > 0)
-            if upstream is None:
-                yield from self._explain_missing(part, now)
-            else:
-                chosen.append((part, upstream))
-                tries -= is_target(upstream, self._table)
+        chosen = self._choose_upstreams(now)
+        if len(chosen) < len(self.parts):
+            chosen_parts = {part for part, _ in chosen}
+            for part in self.parts:
+                if part not in chosen_parts:
+                    yield from self._explain_missing(part, now)
         if not self._has_enough_parts(len(chosen)):
             self.answer = self._refuse()
             return
@@ -158,7 +155,7 @@
             return
         wait = self._hedge_delay()
         for part in self.parts:
-            if now >= self._hedge_due(part, wait):
+            if now >= _hedge_due(part, wait):
                 part.has_hedged = True
                 yield from self._penalize_late(part.open_attempts[0], now)
                 yield from self._send_repeat(part, 'late part', now)
@@ -238,6 +235,17 @@
                 yield from self._retry(part, outcome, now)
                 self._update_next_due(now)
 
+    def _choose_upstreams(self, now: float) -> list[tuple[Part, Upstream]]:
+        """Return the parts that can be sent now, each with its searcher."""
+        chosen = []
+        tries = MAX_TARGET_PARTS
+        for part in self.parts:
+            upstream = self._choose_upstream(part, now, tries_target=tries > 0)
+            if upstream is not None:
+                chosen.append((part, upstream))
+                tries -= is_target(upstream, self._table)
+        return chosen
+
     def _choose_upstream(
         self, part: Part, now: float, *, tries_target: bool = False
     ) -> Upstream | None:
@@ -335,7 +343,7 @@
         due = self._partial_answer_due if may_be_partial else self.deadline
         wait = self._hedge_delay()
         for part in self.parts:
-            due = min(due, self._hedge_due(part, wait))
+            due = min(due, _hedge_due(part, wait))
         self._next_due = due
 
     def _hedge_delay(self) -> float:
@@ -345,12 +353,6 @@
         latencies = self._table.latencies_of(self._route.name)
         return hedge_delay(latencies, self._route.objective)
 
-    def _hedge_due(self, part: Part, wait: float) -> float:
-        if part.has_hedged or part.reply is not None or not part.is_waiting:
-            return NEVER
-        attempt = part.attempts[-1]
-        return attempt.sent_at + max(wait, attempt.min_hedge_delay)
-
     def _retry(
         self,
         part: Part,
@@ -481,3 +483,11 @@
                 self.parts,
                 is_past_deadline=now >= self.deadline,
             )
+
+
+def _hedge_due(part: Part, wait: float) -> float:
+    """Return when the hedge of a part is due, ``NEVER`` without one."""
+    if part.has_hedged or part.reply is not None or not part.is_waiting:
+        return NEVER
+    attempt = part.attempts[-1]
+    return attempt.sent_at + max(wait, attempt.min_hedge_delay)
