--- a/tests/processes/platform_harness.py
+++ b/tests/processes/platform_harness.py
@@ -68,7 +68,7 @@
         ips: list[str],
         port: int,
         folder: Path,
-        limits: Mapping[str, int],
+        limits: Mapping[str, int] = NO_LIMITS,
     ) -> None:
         self.ip = ips[number]
         self.limits = limits
