One predicate for searchers that are in service

Cause: what waits for room, the versions in use and the relay each tested again what the choice of a searcher tests: its state, the drained data centres and the regions of the request; limits were compared with NEVER beside the new property that says so. No behaviour changes.

--- a/snipejunction/components/gateway/choosing.py
+++ b/snipejunction/components/gateway/choosing.py
@@ -20,9 +20,7 @@
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.components.gateway.upstreams import Upstream
 from snipejunction.components.gateway.versions import order_candidates
-from snipejunction.components.registration.const import READY, SILENT
 from snipejunction.helpers.rendezvous import choose
-from snipejunction.timers import NEVER
 
 # Health classes of searchers, the best first.
 _HEALTHY: Final = 0
@@ -52,7 +50,7 @@
     target of a roll-out go first, as far as the exposure bounds allow it.
     Without a ``context`` that of the route alone counts.
     """
-    regions = (context or make_context(route, None)).regions
+    context = context or make_context(route, None)
     for upstreams in order_candidates(
         service, table, now, tries_target=tries_target
     ):
@@ -60,9 +58,9 @@
             upstream
             for upstream in upstreams
             if upstream.searcher_id not in excluded_ids
-            and not (is_hedge and upstream.stated_limit < NEVER)
+            and not (is_hedge and upstream.states_limit)
         ]
-        best = _choose_among(candidates, service, route, regions, table, now)
+        best = _choose_among(candidates, service, route, context, table, now)
         if best is not None:
             return best
     return None
@@ -72,7 +70,7 @@
     candidates: Iterable[Upstream],
     service: str,
     route: Route,
-    regions: Collection[str] | None,
+    context: RequestContext,
     table: GatewayTable,
     now: float,
 ) -> Upstream | None:
@@ -83,7 +81,7 @@
     best_rank = (float('inf'), float('inf'), 0.0)
     limit = table.connection_limit(service)
     for upstream in candidates:
-        if not _is_usable(upstream, regions, limit, table, now):
+        if not _is_usable(upstream, context, limit, table, now):
             continue
         rank = (
             float(_health_class(upstream, now)),
@@ -98,20 +96,17 @@
 
 def _is_usable(
     upstream: Upstream,
-    regions: Collection[str] | None,
+    context: RequestContext,
     limit: int,
     table: GatewayTable,
     now: float,
 ) -> bool:
-    record = upstream.record
-    if record.state not in {READY, SILENT} or now < upstream.refused_until:
-        return False
-    if table.drained.get(record.data_centre, False):
+    if not table.is_in_service(upstream) or now < upstream.refused_until:
         return False
     if upstream.in_flight >= limit:
         return False
-    region = table.regions.get(record.data_centre, '')
-    if regions is not None and region not in regions:
+    region = table.regions.get(upstream.record.data_centre, '')
+    if not context.allows_region(region):
         return False
     if now < upstream.cold_until and not _may_send_cold(upstream, table, now):
         return False
--- a/snipejunction/components/gateway/context.py
+++ b/snipejunction/components/gateway/context.py
@@ -27,6 +27,10 @@
         self.priority = priority
         self.regions = regions
 
+    def allows_region(self, region: str) -> bool:
+        """Return whether searchers of a region may serve the request."""
+        return self.regions is None or region in self.regions
+
 
 def make_context(route: Route, customer: Customer | None) -> RequestContext:
     """Return the context of a request of a customer, None without one."""
--- a/snipejunction/components/gateway/relayed.py
+++ b/snipejunction/components/gateway/relayed.py
@@ -21,7 +21,6 @@
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.components.gateway.upstreams import Upstream
 from snipejunction.components.gateway.versions import is_held_back
-from snipejunction.components.registration.const import READY, SILENT
 from snipejunction.timers import NEVER
 
 _MS_PER_SECOND: Final = 1000
@@ -138,18 +137,15 @@
             yield from self._send_response(now)
 
     def _is_available(self, upstream: Upstream, position: int) -> bool:
-        is_limited = upstream.stated_limit < NEVER
+        is_limited = upstream.states_limit
         if is_limited and position not in self._request.limited:
             # The calling host does not know of the limit.
             return False
-        record = upstream.record
-        if record.state not in {READY, SILENT}:
-            return False
-        if self._table.drained.get(record.data_centre, False):
+        if not self._table.is_in_service(upstream):
             return False
         if is_held_back(upstream, self._table):
             return False
-        limit = self._table.connection_limit(record.service)
+        limit = self._table.connection_limit(upstream.record.service)
         return upstream.in_flight < limit
 
     def _add_report(
@@ -183,7 +179,7 @@
 
 def _held_back(upstream: Upstream | None) -> Outcome:
     detail = 'held back by the relay'
-    if upstream is None or upstream.stated_limit == NEVER:
+    if upstream is None or not upstream.states_limit:
         return Outcome(OutcomeKind.UNSENT, detail=detail)
     limit = upstream.stated_limit
     return Outcome(
--- a/snipejunction/components/gateway/stated_limits.py
+++ b/snipejunction/components/gateway/stated_limits.py
@@ -125,14 +125,14 @@
 
 def may_send(upstream: Upstream, table: GatewayTable, now: float) -> bool:
     """Return whether this host may send a request to a searcher."""
-    if upstream.stated_limit == NEVER:
+    if not upstream.states_limit:
         return True
     return upstream.allowance.may_send(_share(upstream, table, now), now)
 
 
 def count_attempt(upstream: Upstream, table: GatewayTable, now: float) -> None:
     """Count an attempt that is sent now."""
-    if upstream.stated_limit < NEVER:
+    if upstream.states_limit:
         table.sharing.attempts += 1
         upstream.allowance.count(now)
 
@@ -168,7 +168,7 @@
     """
     if sent_at >= upstream.allowance.changed_at:
         return False
-    return upstream.stated_limit == NEVER or rate > upstream.stated_limit
+    return not upstream.states_limit or rate > upstream.stated_limit
 
 
 def _apply_limit(
@@ -181,7 +181,7 @@
     upstream.allowance.confirmed_at = now
     if rate == upstream.stated_limit:
         return
-    is_new = upstream.stated_limit == NEVER
+    is_new = not upstream.states_limit
     upstream.stated_limit = rate
     upstream.allowance.changed_at = now
     if is_new:
--- a/snipejunction/components/gateway/tables.py
+++ b/snipejunction/components/gateway/tables.py
@@ -16,6 +16,7 @@
 from snipejunction.components.gateway.timing import QuantileWindow
 from snipejunction.components.gateway.limit_sharing import LimitSharing
 from snipejunction.components.gateway.upstreams import Upstream
+from snipejunction.components.registration.const import READY, SILENT
 from snipejunction.components.rollouts.trials import TrialTable
 from snipejunction.components.scheduling.tables import SchedulingTable
 
@@ -166,6 +167,13 @@
         updates = self.hosts_by_sender.values()
         return all(update.is_cut_off for update in updates)
 
+    def is_in_service(self, upstream: Upstream) -> bool:
+        """Return whether a searcher is there and its data centre is in."""
+        record = upstream.record
+        if record.state not in {READY, SILENT}:
+            return False
+        return not self.drained.get(record.data_centre, False)
+
     def refresh_active(self, now: float) -> None:
         """Rebuild ``active`` from the lists of all control hosts."""
         records = {
--- a/snipejunction/components/gateway/versions.py
+++ b/snipejunction/components/gateway/versions.py
@@ -10,7 +10,7 @@
 from snipejunction.components.gateway.replies import Outcome
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.components.gateway.upstreams import Upstream
-from snipejunction.components.registration.const import GONE, READY, SILENT
+from snipejunction.components.registration.const import GONE
 from snipejunction.components.rollouts.const import (
     EVENT_REPLACED_RELEASED,
     EVENT_VERSION_MISSING,
@@ -221,7 +221,4 @@
 
 
 def _is_ready(upstream: Upstream, table: GatewayTable, now: float) -> bool:
-    record = upstream.record
-    if record.state not in {READY, SILENT} or now < upstream.cold_until:
-        return False
-    return not table.drained.get(record.data_centre, False)
+    return now >= upstream.cold_until and table.is_in_service(upstream)
--- a/snipejunction/components/scheduling/room.py
+++ b/snipejunction/components/scheduling/room.py
@@ -11,7 +11,6 @@
 
 from snipejunction.components.gateway.const import COLD_REQUESTS_PER_SECOND
 from snipejunction.components.gateway.stated_limits import may_send
-from snipejunction.components.registration.const import READY, SILENT
 from snipejunction.components.scheduling.const import MIN_STEP_SECONDS
 from snipejunction.helpers.records import Record
 from snipejunction.helpers.rendezvous import choose
@@ -129,13 +128,8 @@
 def _may_be_asked(
     upstream: Upstream, context: RequestContext, table: GatewayTable
 ) -> bool:
-    record = upstream.record
-    if record.state not in {READY, SILENT}:
-        return False
-    if table.drained.get(record.data_centre, False):
-        return False
-    region = table.regions.get(record.data_centre, '')
-    return context.regions is None or region in context.regions
+    region = table.regions.get(upstream.record.data_centre, '')
+    return table.is_in_service(upstream) and context.allows_region(region)
 
 
 def _searcher_free_at(
--- a/snipejunction/edge/gateway/relay_calls.py
+++ b/snipejunction/edge/gateway/relay_calls.py
@@ -20,7 +20,6 @@
     Reply,
 )
 from snipejunction.edge.peers import PeerTable
-from snipejunction.timers import NEVER
 
 MergedOutcomes: TypeAlias = list[tuple[Attempt, Outcome]]
 OnMerged: TypeAlias = Callable[[str, MergedOutcomes], None]
@@ -99,7 +98,7 @@
             tuple(
                 position
                 for position, attempt in enumerate(command.attempts)
-                if attempt.upstream.stated_limit < NEVER
+                if attempt.upstream.states_limit
             ),
         )
         self._peers.send(command.relay, request)
