Scheduling: one rule for enough parts, one way to send first attempts

Cause: what makes an answer was written twice (a run, and how many parts a waiting request needs), as was the sending of first attempts; searchers that a part must not go to and ranks of waiting requests were found twice for each use; the most urgent priority was looked for among all routes at each hedge; turns and throttles of removed routes stayed for ever. Change: has_enough_parts and RequestRun._send_first serve both; the document holds the most urgent priority; an update drops what is known of other routes. A least share above 1 ends in a refusal as elsewhere, no longer in an IndexError.

--- a/snipejunction/components/gateway/answers.py
+++ b/snipejunction/components/gateway/answers.py
@@ -17,6 +17,13 @@
 STATUS_GATEWAY_TIMEOUT: Final = 504
 
 
+def has_enough_parts(route: Route, covered: int, count: int) -> bool:
+    """Return whether ``covered`` of ``count`` parts make an answer."""
+    if not route.shards:
+        return covered > 0
+    return covered > 0 and covered / count >= route.min_share
+
+
 def make_refusal(parts: int, *, is_limited: bool) -> Answer:
     """Return the answer to a request that was sent to no searcher.
 
--- a/snipejunction/components/gateway/document.py
+++ b/snipejunction/components/gateway/document.py
@@ -183,13 +183,14 @@
     none, ``needs_keys`` in requests.
     ``customers_by_digest`` maps the SHA-256 of each key to its customer.
     Requests wait for room at searchers if there are customers or the document
-    ``has_queue``.
+    ``has_queue``. ``highest_priority`` is the most urgent one of any route.
     """
 
     __slots__ = (
         'customers',
         'customers_by_digest',
         'has_queue',
+        'highest_priority',
         'limits',
         'needs_keys',
         'routes',
@@ -215,6 +216,9 @@
         self.has_queue = has_queue or bool(customers)
         self.version = version
         self.routes = routes
+        self.highest_priority = min(
+            (route.priority for route in routes), default=0
+        )
         self.services = services
         self.shard_services = frozenset(
             service for route in routes for service in route.shards
--- a/snipejunction/components/gateway/run.py
+++ b/snipejunction/components/gateway/run.py
@@ -7,6 +7,7 @@
 
 from snipejunction.commands import Command, LogEvent
 from snipejunction.components.gateway.answers import (
+    has_enough_parts,
     make_failure,
     make_refusal,
     make_success,
@@ -139,14 +140,10 @@
             for part in self.parts:
                 if part not in chosen_parts:
                     yield from self._explain_missing(part, now)
-        if not self._has_enough_parts(len(chosen)):
+        if not has_enough_parts(self._route, len(chosen), len(self.parts)):
             self.answer = self._refuse()
             return
-        attempts = []
-        for part, upstream in chosen:
-            self._table.budget(part.service).record_request(now)
-            attempts.append(self._create_attempt(part, upstream, now))
-        yield from self._send_attempts(attempts, now)
+        yield from self._send_first(chosen, now)
         self._update_next_due(now)
 
     def advance(self, now: float) -> Iterator[Command]:
@@ -260,6 +257,16 @@
             context=self._context,
         )
 
+    def _send_first(
+        self, chosen: list[tuple[Part, Upstream]], now: float
+    ) -> Iterator[Command]:
+        """Send the first attempts of parts."""
+        attempts = []
+        for part, upstream in chosen:
+            self._table.budget(part.service).record_request(now)
+            attempts.append(self._create_attempt(part, upstream, now))
+        yield from self._send_attempts(attempts, now)
+
     def _explain_missing(self, part: Part, now: float) -> Iterator[Command]:
         """Record that limits or versions keep a part from being sent."""
         yield from explain_held_back(self.request_id, part.service, self._table)
@@ -458,12 +465,6 @@
         latencies.add(elapsed)
         upstream.record_latency(elapsed / (latencies.median or elapsed), now)
 
-    def _has_enough_parts(self, covered: int) -> bool:
-        if not self._route.shards:
-            return covered > 0
-        share = covered / len(self.parts)
-        return covered > 0 and share >= self._route.min_share
-
     def _finish_if_due(self, now: float, *, is_ending: bool = False) -> None:
         if self.answer is not None:
             return
@@ -471,11 +472,11 @@
         is_waiting = not is_complete and any(
             part.is_waiting for part in self.parts
         )
+        is_enough = has_enough_parts(self._route, self.covered, len(self.parts))
         if is_waiting and now < self.deadline and not is_ending:
-            is_due = now >= self._partial_answer_due
-            if not (is_due and self._has_enough_parts(self.covered)):
+            if not is_enough or now < self._partial_answer_due:
                 return
-        if self._has_enough_parts(self.covered):
+        if is_enough:
             self.answer = make_success(self._route, self.parts)
         else:
             self.answer = make_failure(
--- a/snipejunction/components/gateway/updates.py
+++ b/snipejunction/components/gateway/updates.py
@@ -87,6 +87,7 @@
     for name in list(table.latencies):
         if name not in names:
             table.latencies.pop(name)
+    table.scheduling.drop_other_routes(names)
 
 
 def _apply_drain(
--- a/snipejunction/components/scheduling/giving_up.py
+++ b/snipejunction/components/scheduling/giving_up.py
@@ -6,22 +6,23 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Sequence
-from typing import TYPE_CHECKING, Final
 
-if TYPE_CHECKING:
-    from snipejunction.components.gateway.document import Route
-    from snipejunction.components.gateway.parts import Part
-
-_ROUNDING_ERROR: Final = 1e-9
+from snipejunction.components.gateway.answers import has_enough_parts
+from snipejunction.components.gateway.document import Route
+from snipejunction.components.gateway.parts import Part
 
 
 def needed_parts(route: Route, count: int) -> int:
     """Return the least number of ``count`` parts that make an answer."""
-    if not route.shards:
-        return 1
-    return max(1, math.ceil(route.min_share * count - _ROUNDING_ERROR))
+    return next(
+        (
+            covered
+            for covered in range(1, count)
+            if has_enough_parts(route, covered, count)
+        ),
+        count,
+    )
 
 
 def is_lost(route: Route, parts: Sequence[Part], missing: int) -> bool:
@@ -32,4 +33,4 @@
     if not route.shards:
         return False
     alive = sum(part.reply is not None or part.is_waiting for part in parts)
-    return alive + missing < needed_parts(route, len(parts))
+    return not has_enough_parts(route, alive + missing, len(parts))
--- a/snipejunction/components/scheduling/hedging.py
+++ b/snipejunction/components/scheduling/hedging.py
@@ -36,9 +36,6 @@
     may be lost, and for more urgent requests.
     """
     document = table.document
-    if document is None:
-        return RESERVED_RETRIES
-    highest = min((route.priority for route in document.routes), default=0)
-    if priority <= highest:
+    if document is None or priority <= document.highest_priority:
         return RESERVED_RETRIES
     return RESERVED_RETRIES + RESERVED_URGENT_REPEATS
--- a/snipejunction/components/scheduling/refusing.py
+++ b/snipejunction/components/scheduling/refusing.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Set as AbstractSet
+
 from snipejunction.components.scheduling.const import (
     MAX_RETRY_AFTER_SHARE,
     MIN_RETRY_AFTER_SECONDS,
@@ -21,6 +23,11 @@
         """Create turns that are all free."""
         self._next_turns: dict[str, float] = {}
 
+    def drop_other_routes(self, kept: AbstractSet[str]) -> None:
+        """Drop the turns of routes that are not ``kept``."""
+        for route in self._next_turns.keys() - kept:
+            self._next_turns.pop(route)
+
     def take(
         self,
         route: str,
--- a/snipejunction/components/scheduling/run.py
+++ b/snipejunction/components/scheduling/run.py
@@ -11,7 +11,10 @@
 from typing import Final
 
 from snipejunction.commands import Command, LogEvent
-from snipejunction.components.gateway.answers import make_failure
+from snipejunction.components.gateway.answers import (
+    has_enough_parts,
+    make_failure,
+)
 from snipejunction.components.gateway.choosing import choose_upstream
 from snipejunction.components.gateway.const import (
     MAX_REJECTED_DELIVERIES,
@@ -137,7 +140,7 @@
 
     def _begin(self, now: float) -> Iterator[Command]:
         chosen = self._choose_upstreams(now)
-        if not self._has_enough_parts(len(chosen)):
+        if not has_enough_parts(self._route, len(chosen), len(self.parts)):
             yield from self._wait_or_refuse(now)
             return
         scheduling = self._table.scheduling
@@ -151,12 +154,8 @@
             )
         work = len(chosen) * service_seconds(self._route, self._table)
         scheduling.queue.served.add(self._context.customer, work, now)
-        attempts = []
-        for part, upstream in chosen:
-            self._table.budget(part.service).record_request(now)
-            attempts.append(self._create_attempt(part, upstream, now))
         self._has_gaps = len(chosen) < len(self.parts)
-        yield from self._send_attempts(attempts, now)
+        yield from self._send_first(chosen, now)
         self._update_next_due(now)
         for part in self._missing_parts(now):
             yield from self._note_waiting_part(part, now)
@@ -174,9 +173,7 @@
         """Send a part that had no room when the others were sent."""
         upstream = self._choose_upstream(part, now)
         if upstream is not None:
-            self._table.budget(part.service).record_request(now)
-            attempt = self._create_attempt(part, upstream, now)
-            yield from self._send_attempts([attempt], now)
+            yield from self._send_first([(part, upstream)], now)
 
     def _wait_or_refuse(self, now: float) -> Iterator[Command]:
         """Queue a request of which nothing was sent, or refuse it."""
@@ -280,7 +277,7 @@
         return choose_upstream(
             part.service,
             self._route,
-            self._excluded_ids(part) | self._unfit_ids(part, now, is_now=True),
+            self._unfit_ids(part, now, is_now=True),
             self._table,
             now,
             is_hedge=bool(part.open_attempts),
@@ -289,16 +286,20 @@
         )
 
     def _unfit_ids(self, part: Part, now: float, *, is_now: bool) -> set[str]:
-        """Return the searchers that are late, and if ``is_now`` full ones."""
+        """Return the searchers that a part does not go to.
+
+        These are excluded or late, and if ``is_now`` full.
+        """
         upstreams = self._table.upstreams_by_service.get(part.service, {})
+        excluded_ids = self._excluded_ids(part)
         full_ids = full_searcher_ids(upstreams.values(), now)
         if not full_ids:
-            return full_ids
-        excluded_ids = self._excluded_ids(part)
+            return excluded_ids
         late_ids = late_searcher_ids(
             upstreams.values(), full_ids - excluded_ids, now
         )
-        return late_ids | full_ids if is_now else late_ids
+        unfit_ids = excluded_ids | late_ids
+        return unfit_ids | full_ids if is_now else unfit_ids
 
     def _excluded_ids(self, part: Part) -> set[str]:
         """Return the searchers that have, may have or may still run a part."""
@@ -316,7 +317,7 @@
             part.service,
             self._route,
             self._context,
-            self._excluded_ids(part) | self._unfit_ids(part, now, is_now=False),
+            self._unfit_ids(part, now, is_now=False),
             self._table,
             now,
         )
@@ -434,8 +435,10 @@
                 self._give_up(now)
                 return
             is_due = now >= self._partial_answer_due
-            is_enough = is_due and self._has_enough_parts(self.covered)
-            if missing and not is_enough:
+            is_enough = has_enough_parts(
+                self._route, self.covered, len(self.parts)
+            )
+            if missing and not (is_due and is_enough):
                 return
         super()._finish_if_due(now, is_ending=is_ending)
         if self.answer is not None:
--- a/snipejunction/components/scheduling/tables.py
+++ b/snipejunction/components/scheduling/tables.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Set as AbstractSet
 
 from snipejunction.components.scheduling.refusing import RefusalTurns
 from snipejunction.components.scheduling.throttling import RouteThrottle
@@ -26,6 +27,12 @@
         self.given_up = 0
         self.throttles: dict[str, RouteThrottle] = {}
 
+    def drop_other_routes(self, kept: AbstractSet[str]) -> None:
+        """Drop what is known of routes that are not ``kept``."""
+        self.turns.drop_other_routes(kept)
+        for route in self.throttles.keys() - kept:
+            self.throttles.pop(route)
+
     def throttle(self, route: str, now: float) -> RouteThrottle:
         """Return the throttle of a route, creating it if needed."""
         throttle = self.throttles.get(route)
--- a/snipejunction/components/scheduling/waiting.py
+++ b/snipejunction/components/scheduling/waiting.py
@@ -141,13 +141,13 @@
 
     def _order(self, entries: list[Waiting], now: float) -> list[Waiting]:
         """Order requests; those of a customer go behind each other."""
-        entries.sort(key=lambda entry: rank_by_value(entry, now))
+        ranks = {entry: rank_by_value(entry, now) for entry in entries}
         places: Counter[str] = Counter()
         keys = {}
-        for entry in entries:
+        for entry in sorted(entries, key=ranks.__getitem__):
             places[entry.customer] += bool(entry.customer)
-            rank = rank_by_value(entry, now)
+            rank = ranks[entry]
             served = self.served.of(entry.customer, now)
             place = places[entry.customer]
             keys[entry] = (rank[0], place, served, *rank[1:])
-        return sorted(entries, key=keys.__getitem__)
+        return sorted(keys, key=keys.__getitem__)
--- a/tests/components/gateway/test_updates.py
+++ b/tests/components/gateway/test_updates.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from testtools import TestCase
-from testtools.matchers import Equals, Is
+from testtools.matchers import Equals, Is, LessThan
 
 from snipejunction.components.deployment.messages import DeploymentUpdate
 from snipejunction.components.gateway.choosing import choose_upstream
+from snipejunction.components.gateway.document import Document
 from snipejunction.components.gateway.updates import (
     apply_deployment,
     drop_gone_searchers,
@@ -198,3 +199,16 @@
         self.assertThat(events[0].event.number, Equals(941))
         self.assertThat(self.table.document.version, Equals(1))
         self.assertThat(self.table.index, Equals(1))
+
+    def test_removed_route(self) -> None:
+        """Nothing is kept of routes that a newer document lacks."""
+        scheduling = self.table.scheduling
+        scheduling.throttle('r', 10)
+        scheduling.turns.take('r', 12, 1, 9, 10)
+        known = self.table.document
+        newer = Document(2, (), known.services, known.limits)
+        update = DeploymentUpdate(7, 2, b'', {})
+        update.sender = 'c1'
+        list(apply_deployment(update, self.table, lambda _: newer, 10))
+        self.assertThat(scheduling.throttles, Equals({}))
+        self.assertThat(scheduling.turns.take('r', 10, 1, 9, 10), LessThan(1))
