Roll-outs, statuses and counters: use what is there instead of a copy

Cause: the states in progress, the sum of evidence, the range of statuses that are answers, and counters with two labels were each written two or three times; the versions in use were found anew for each searcher of a log line, and searchers of a service were looked for among all.

--- a/snipejunction/components/gateway/versions.py
+++ b/snipejunction/components/gateway/versions.py
@@ -59,18 +59,20 @@
     request_id: str, service: str, table: GatewayTable
 ) -> Iterator[LogEvent]:
     """Log that all searchers of a service are of versions without an order."""
-    upstreams = [
-        upstream
+    if table.rollouts.exposure is None:
+        return
+    others = {
+        upstream.record.version
         for upstream in table.upstreams_by_service.get(service, {}).values()
         if upstream.record.state != GONE
-    ]
-    if upstreams and all(is_held_back(known, table) for known in upstreams):
-        others = {upstream.record.version for upstream in upstreams}
+    }
+    use = _version_use(service, table)
+    if others and not any(use.allows(version) for version in others):
         yield LogEvent(
             EVENT_VERSION_MISSING,
             request=request_id,
             service=service,
-            current=_version_use(service, table).current,
+            current=use.current,
             others=', '.join(sorted(others)),
         )
 
@@ -199,11 +201,7 @@
     use = _version_use(service, table)
     if use.is_current(trial.record.target):
         return False
-    upstreams = [
-        upstream
-        for upstream in table.upstreams.values()
-        if upstream.record.service == service
-    ]
+    upstreams = table.upstreams_by_service.get(service, {}).values()
     if any(
         upstream.in_flight and not use.is_target(upstream.record.version)
         for upstream in upstreams
--- a/snipejunction/components/rollouts/const.py
+++ b/snipejunction/components/rollouts/const.py
@@ -20,6 +20,8 @@
         ROLLED_BACK: 'rolled back',
     }
 )
+# States of a roll-out that has not ended.
+IN_PROGRESS: Final = frozenset((RUNNING, SWITCHING))
 # States that may follow each state.
 NEXT_STATES: Final = MappingProxyType(
     {
--- a/snipejunction/components/rollouts/judging.py
+++ b/snipejunction/components/rollouts/judging.py
@@ -200,10 +200,7 @@
     parts = list(evidence)
     total = RouteEvidence(0, _ALL_ROUTES)
     for part in parts:
-        total.target_total += part.target_total
-        total.target_bad += part.target_bad
-        total.current_total += part.current_total
-        total.current_bad += part.current_bad
+        total.add(part)
     counts = [_Counts(_ALL_ROUTES, total)]
     if len(parts) > 1:
         counts.extend(_Counts(f'route {part.route}', part) for part in parts)
--- a/snipejunction/components/rollouts/messages.py
+++ b/snipejunction/components/rollouts/messages.py
@@ -126,6 +126,13 @@
         self.current_total = current_total
         self.current_bad = current_bad
 
+    def add(self, other: RouteEvidence) -> None:
+        """Add other counts; no more answers are bad than there are."""
+        self.target_total += other.target_total
+        self.target_bad += min(other.target_bad, other.target_total)
+        self.current_total += other.current_total
+        self.current_bad += min(other.current_bad, other.current_total)
+
 
 @wire(166)
 class RolloutReport(PeerMessage):
--- a/snipejunction/components/rollouts/tables.py
+++ b/snipejunction/components/rollouts/tables.py
@@ -8,10 +8,10 @@
 
 from snipejunction.components.rollouts.const import (
     COMPLETED,
+    IN_PROGRESS,
     MAX_REPORTS,
     NEXT_STATES,
     REPEAT_MS,
-    RUNNING,
     SWITCHING,
 )
 from snipejunction.components.rollouts.messages import (
@@ -25,7 +25,6 @@
 from snipejunction.timers import NEVER
 
 _MILLISECONDS: Final = 1000
-_IN_PROGRESS: Final = frozenset((RUNNING, SWITCHING))
 
 
 class RolloutState:
@@ -44,13 +43,13 @@
         return [
             record
             for record in self.records.values()
-            if record.state in _IN_PROGRESS
+            if record.state in IN_PROGRESS
         ]
 
     def find_conflict(self, entry: RolloutStartEntry) -> str:
         """Return why an order cannot start now, empty if it can."""
         record = self.records.get(entry.service)
-        if record is None or record.state not in _IN_PROGRESS:
+        if record is None or record.state not in IN_PROGRESS:
             return ''
         if record.target == entry.target:
             return ''
@@ -110,7 +109,7 @@
         record = self.records.get(entry.service)
         if record is None or record.target != entry.target:
             return False
-        if record.state in _IN_PROGRESS:
+        if record.state in IN_PROGRESS:
             return True
         age_ms = abs(entry.ordered_ms - record.ordered_ms)
         return age_ms < record.duration * _MILLISECONDS + REPEAT_MS
@@ -202,7 +201,7 @@
                     (part.number, part.route),
                     RouteEvidence(part.number, part.route),
                 )
-                _add_evidence(total, part)
+                total.add(part)
         by_number: dict[int, list[RouteEvidence]] = {}
         for key in sorted(sums):
             by_number.setdefault(key[0], []).append(sums[key])
@@ -300,10 +299,3 @@
         part.target_total + part.current_total for part in report.evidence
     )
     return report.index, answers
-
-
-def _add_evidence(total: RouteEvidence, part: RouteEvidence) -> None:
-    total.target_total += part.target_total
-    total.target_bad += min(part.target_bad, part.target_total)
-    total.current_total += part.current_total
-    total.current_bad += min(part.current_bad, part.current_total)
--- a/snipejunction/components/rollouts/trial.py
+++ b/snipejunction/components/rollouts/trial.py
@@ -7,9 +7,9 @@
 
 from snipejunction.commands import LogEvent
 from snipejunction.components.gateway.replies import Outcome, OutcomeKind
-from snipejunction.components.rollouts.const import RUNNING, SWITCHING
 from snipejunction.components.rollouts.const import (
     EVENT_TARGET_STOPPED,
+    IN_PROGRESS,
     STOP_BAD_ANSWERS,
 )
 from snipejunction.components.rollouts.evidence import (
@@ -61,7 +61,7 @@
     @property
     def is_open(self) -> bool:
         """Return whether the roll-out is running or switching."""
-        return self.record.state in {RUNNING, SWITCHING}
+        return self.record.state in IN_PROGRESS
 
     def start_attempt(
         self, route: str, now: float, *, is_target: bool, is_cold: bool
--- a/snipejunction/components/rollouts/trials.py
+++ b/snipejunction/components/rollouts/trials.py
@@ -5,13 +5,9 @@
 from collections.abc import Iterable, Iterator, Mapping
 
 from snipejunction.commands import LogEvent
-from snipejunction.components.rollouts.const import (
-    RUNNING,
-    STATE_NAMES,
-    SWITCHING,
-)
 from snipejunction.components.rollouts.const import (
     EVENT_ROLLOUT_CHANGED,
+    STATE_NAMES,
 )
 from snipejunction.components.rollouts.exposure import ExposureBounds
 from snipejunction.components.rollouts.messages import RolloutRecord
@@ -46,11 +42,7 @@
     @property
     def open_trials(self) -> list[Trial]:
         """Return the roll-outs that are running or switching."""
-        return [
-            trial
-            for trial in self._trials.values()
-            if trial.record.state in {RUNNING, SWITCHING}
-        ]
+        return [trial for trial in self._trials.values() if trial.is_open]
 
     def find_trial(self, service: str) -> Trial | None:
         """Return the newest roll-out of a service, None without one."""
--- a/snipejunction/edge/gateway/exposition.py
+++ b/snipejunction/edge/gateway/exposition.py
@@ -49,14 +49,16 @@
     counts: Mapping[str, Mapping[str, int]],
 ) -> bytes:
     """Return counts by listener and reason in the Prometheus text format."""
-    family = CounterMetricFamily(
+    family = _counter_family(
         'snipejunction_connections_refused',
         'Connections that were refused or closed for what they sent or held.',
-        labels=('listener', 'reason'),
+        ('listener', 'reason'),
+        {
+            (listener, reason): count
+            for listener, reasons in counts.items()
+            for reason, count in reasons.items()
+        },
     )
-    for listener, reasons in counts.items():
-        for reason, count in reasons.items():
-            family.add_metric((listener, reason), count)
     registry = CollectorRegistry()
     registry.register(_Families([family]))
     return bytes(generate_latest(registry))
@@ -73,15 +75,25 @@
         return self._families
 
 
+def _counter_family(
+    name: str,
+    text: str,
+    labels: tuple[str, str],
+    counts: Mapping[tuple[str, str], int],
+) -> Metric:
+    family = CounterMetricFamily(name, text, labels=labels)
+    for label_values, count in counts.items():
+        family.add_metric(label_values, count)
+    return family
+
+
 def _answers_family(answers: Mapping[tuple[str, str], int]) -> Metric:
-    family = CounterMetricFamily(
+    return _counter_family(
         'snipejunction_answers',
         'Answers to callers; status 0 stands for callers that left.',
-        labels=('route', 'status'),
+        ('route', 'status'),
+        answers,
     )
-    for labels, count in answers.items():
-        family.add_metric(labels, count)
-    return family
 
 
 def _refusals_family(refusals: Mapping[str, int]) -> Metric:
@@ -104,14 +116,12 @@
 
 
 def _quotas_family(quotas: Mapping[tuple[str, str], int]) -> Metric:
-    family = CounterMetricFamily(
+    return _counter_family(
         'snipejunction_quota_requests',
         'Requests of customers with a quota.',
-        labels=('customer', 'decision'),
+        ('customer', 'decision'),
+        quotas,
     )
-    for labels, count in quotas.items():
-        family.add_metric(labels, count)
-    return family
 
 
 def _latency_family(latencies: Mapping[str, LatencyHistogram]) -> Metric:
--- a/snipejunction/edge/upstream_protocol.py
+++ b/snipejunction/edge/upstream_protocol.py
@@ -10,6 +10,7 @@
 from functools import lru_cache
 from typing import Final
 
+from snipejunction.components.gateway.replies import FINAL_STATUSES
 from snipejunction.components.owner.const import (
     ENDED_CANCELLED,
     ENDED_DEADLINE,
@@ -48,9 +49,6 @@
 
 STATUS_OK: Final = 200
 STATUS_REFUSED: Final = 503
-_AFTER_LAST_STATUS: Final = 600
-# A response with any other status is none.
-_FINAL_STATUSES: Final = range(STATUS_OK, _AFTER_LAST_STATUS)
 
 # Refusal codes of a response with status 503. The first three state that the
 # request did not run, the others that it may have run.
@@ -131,7 +129,7 @@
 ) -> DispatchEnded:
     """Return the result of a dispatch from an upstream's response."""
     boot_id = headers.get(HEADER_BOOT, '')
-    if status not in _FINAL_STATUSES:
+    if status not in FINAL_STATUSES:
         return DispatchEnded(dispatch_id, ENDED_LOST, boot_id=boot_id)
     try:
         retry_after = int(headers.get(HEADER_RETRY_AFTER, '0'))
