Set budgets where they are made; one level, one stop of a timer

Cause: a gateway host made its budgets with the largest bounds though it knows those of its machine, and the process set them again from outside; the home of quotas built a level in two places; a forwarded request stopped its timer in four. Change: budgets come from the profile, the pool's is private again; QuotaHome._make_level and ForwardedRequest._stop_timer; the texts say what is.

--- a/snipejunction/components/quotas/home.py
+++ b/snipejunction/components/quotas/home.py
@@ -67,7 +67,8 @@
     """Buckets of the parts that hosts cede to this one.
 
     Parts are ceded for ``CESSION_SECONDS`` from the last answer that the host
-    has received. Buckets begin empty when the first part is ceded.
+    has received. Buckets begin with a few requests when the first part is
+    ceded.
     """
 
     __slots__ = (
@@ -147,13 +148,7 @@
             bucket = self._fill_bucket(customer, now)
             bucket.level -= reporter.count(usage)
             bucket.users[message.sender] = now
-            yield Level(
-                usage.customer,
-                usage.total,
-                bucket.level,
-                customer.rate * self._share_of(customer),
-                bucket.count_users(now),
-            )
+            yield self._make_level(usage.total, bucket, customer, now)
             if bucket.level < 0:
                 self._debtors.add(usage.customer)
         reported = {usage.customer for usage in message.usages}
@@ -172,16 +167,21 @@
         if customer is not None and customer.rate and bucket is not None:
             bucket.fill(customer, self._share_of(customer), now)
             if bucket.level < 0:
-                yield Level(
-                    name,
-                    NOT_REPORTED,
-                    bucket.level,
-                    customer.rate * self._share_of(customer),
-                    bucket.count_users(now),
-                )
+                yield self._make_level(NOT_REPORTED, bucket, customer, now)
                 return
         self._debtors.discard(name)
 
+    def _make_level(
+        self, total: int, bucket: _SharedBucket, customer: Customer, now: float
+    ) -> Level:
+        return Level(
+            customer.name,
+            total,
+            bucket.level,
+            customer.rate * self._share_of(customer),
+            bucket.count_users(now),
+        )
+
     def _fill_bucket(self, customer: Customer, now: float) -> _SharedBucket:
         bucket = self._buckets.get(customer.name)
         if bucket is None:
--- a/snipejunction/edge/gateway/forwarding.py
+++ b/snipejunction/edge/gateway/forwarding.py
@@ -137,15 +137,12 @@
 
     def resume(self) -> None:
         """Send what waits for room, if there is any by now."""
-        if self._timer is not None:
-            self._timer.cancel()
+        self._stop_timer()
         self._advance()
 
     def withdraw(self) -> CallerRequest:
         """Drop this run, of which nothing was sent; return its request."""
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        self._stop_timer()
         run = self._run
         run.is_abandoned = True
         self._hooks.on_request_done(self)
@@ -229,9 +226,7 @@
         if answer is None:
             self._schedule_advance(self._run.next_due)
             return
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        self._stop_timer()
         if not self._request.is_answered:
             self._respond(answer)
 
@@ -242,6 +237,11 @@
             self._timer.cancel()
         self._timer = self._loop.call_at(due, self._advance)
 
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
     def _respond(self, answer: Answer) -> None:
         elapsed = self._loop.time() - self._request.received_at
         headers = answer.headers
@@ -300,9 +300,7 @@
         """End the request without an answer."""
         self._is_disconnected = True
         self._run.is_abandoned = True
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        self._stop_timer()
         elapsed = self._loop.time() - self._request.received_at
         self._hooks.metrics.record_answer(self._route.name, 0, elapsed)
         self._hooks.on_request_done(self)
--- a/snipejunction/edge/gateway/gateway_host.py
+++ b/snipejunction/edge/gateway/gateway_host.py
@@ -21,10 +21,6 @@
 from snipejunction.components.gateway.tables import GatewayTable
 from snipejunction.edge.event_log import EventLog
 from snipejunction.edge.gateway.caller_connection import CallerRequest
-from snipejunction.edge.gateway.const import (
-    MAX_RECEIVED_BYTES,
-    MAX_RECEIVED_REQUEST_BYTES,
-)
 from snipejunction.edge.gateway.control_link import ControlLink
 from snipejunction.edge.gateway.forwarding import ForwardedRequest
 from snipejunction.edge.gateway.header_names import HeaderNames
@@ -99,7 +95,9 @@
         self.pool = SearcherPool(
             header_names,
             loop,
-            ReceiveBudget('searchers', MAX_RECEIVED_BYTES, self.log),
+            ReceiveBudget(
+                'searchers', profile.bounds.received_answer_bytes, self.log
+            ),
             lambda: self.link.peers.check.late_seconds,
         )
         self.metrics = ServiceMetrics()
@@ -109,7 +107,9 @@
         self.caller_server: Final = HttpServer(
             self._handle_request,
             loop,
-            ReceiveBudget('callers', MAX_RECEIVED_REQUEST_BYTES, self.log),
+            ReceiveBudget(
+                'callers', profile.bounds.received_request_bytes, self.log
+            ),
         )
         self.link: Final = ControlLink(
             profile,
--- a/snipejunction/edge/gateway/searcher_pool.py
+++ b/snipejunction/edge/gateway/searcher_pool.py
@@ -75,7 +75,7 @@
         self._loop = loop
         self._by_searcher: dict[tuple[str, int], set[SearcherConnection]] = {}
         self._connecting: set[asyncio.Task[None]] = set()
-        self.budget = budget
+        self._budget = budget
         self._late_seconds = late_seconds
         self.opened_connections = 0
 
@@ -200,7 +200,7 @@
             key,
         )
         return SearcherConnection(
-            self._header_names, self._loop, on_lost, self.budget
+            self._header_names, self._loop, on_lost, self._budget
         )
 
     def _remove(
--- a/snipejunction/platform/entry_role.py
+++ b/snipejunction/platform/entry_role.py
@@ -44,7 +44,6 @@
             secrets.randbits(_SEED_BITS),
         )
         process.bound_server(LISTENER_CALLERS, host.caller_server)
-        host.pool.budget.limit = process.profile.bounds.received_answer_bytes
         await stack.enter_async_context(host)
         address = process.profile.addresses.ready
         respond_readiness = partial(_respond_readiness, host)
--- a/snipejunction/platform/process.py
+++ b/snipejunction/platform/process.py
@@ -152,7 +152,6 @@
         """Apply the bounds of the machine; report what is refused."""
         bounds = self.profile.bounds
         server.max_connections = bounds.max_connections(listener)
-        server.budget.limit = bounds.received_request_bytes
         server.unsent_budget.limit = bounds.unsent_bytes
         self._servers[listener] = server
 
