Read names of orders as those of announcements

Cause: an order of a roll-out checked the length of its names with a copy of what announcements do. Change: read_name serves both. Of an order with two wrong names, the error names the first.

--- a/snipejunction/platform/announcements.py
+++ b/snipejunction/platform/announcements.py
@@ -49,15 +49,15 @@
     state = _STATES.get(fields.string('state'))
     if state is None:
         raise fields.error('state', 'unknown')
-    address = _read_name(fields, 'address')
+    address = read_name(fields, 'address')
     _, port = parse_address(address)
     if not port:
         raise fields.error('address', 'port 0')
     return SearcherRecord(
         searcher_id,
-        _read_name(fields, 'service'),
+        read_name(fields, 'service'),
         address,
-        _read_name(fields, 'zone'),
+        read_name(fields, 'zone'),
         fields.integer('slots', lowest=1),
         # coldLeftMs is the time left until the end of the cold start.
         fields.seconds('coldLeftMs', 0),
@@ -81,7 +81,12 @@
     return parse_json(content).integer('born', 0) or None
 
 
-def _read_name(fields: Fields, field: str) -> str:
+def read_name(fields: Fields, field: str) -> str:
+    """Return a name of bounded length.
+
+    Raises:
+        SettingsError: if it is missing, no text or too long.
+    """
     name = fields.string(field)
     if len(name) > _MAX_NAME_CHARS:
         raise fields.error(field, f'over {_MAX_NAME_CHARS} characters')
@@ -91,6 +96,6 @@
 def _read_version(fields: Fields) -> str:
     """Return the version of a searcher, empty if it states none."""
     try:
-        return _read_name(fields, 'version')
+        return read_name(fields, 'version')
     except SettingsError:
         return ''
--- a/snipejunction/platform/rollouts.py
+++ b/snipejunction/platform/rollouts.py
@@ -19,6 +19,7 @@
 from snipejunction.edge.rollouts import RolloutCalls
 from snipejunction.errors import SettingsError
 from snipejunction.platform import names
+from snipejunction.platform.announcements import read_name
 from snipejunction.platform.answers import respond_json, respond_status
 from snipejunction.platform.fields import parse_json
 
@@ -28,8 +29,6 @@
 _CONFLICT: Final = 409
 _UNAVAILABLE: Final = 503
 _NANOSECONDS_PER_MILLISECOND: Final = 1_000_000
-# Longest name of a service or a version, in characters.
-_MAX_NAME_CHARS: Final = 255
 _MAX_DURATION_SECONDS: Final = 604_800
 _STATE_WORDS: Final = MappingProxyType(
     {
@@ -53,11 +52,8 @@
         raise fields.error(
             'durationS', f'not in (0, {_MAX_DURATION_SECONDS}] seconds'
         )
-    service = fields.string('service')
-    target = fields.string('targetVersion')
-    for field, name in (('service', service), ('targetVersion', target)):
-        if len(name) > _MAX_NAME_CHARS:
-            raise fields.error(field, f'over {_MAX_NAME_CHARS} characters')
+    service = read_name(fields, 'service')
+    target = read_name(fields, 'targetVersion')
     return RolloutStartEntry(service, target, float(duration), ordered_ms)
 
 
