Send each request id once on a connection to a searcher

Callers got 503 for requests that are not idempotent and had run, and some of those ran twice: a full searcher rejects a request, which waits and goes to the same searcher again with the same id; a late copy of the rejection on that connection counted as the answer to the second attempt.

Cause: an id tells requests apart, not attempts, and nothing kept a connection from carrying the same id again. Answers without an id belonged to any request.

A connection now remembers the ids that it carried and carries each once; an answer without an id counts on its first request only. On related paths: call ids of relays begin at a random number in each start, and an upstream's answer that names another dispatch is dropped with its connection.

Without the change four of the new tests of RepeatedIdTest, RestartedAskerTest and test_late_refusal fail.

--- a/snipejunction/edge/gateway/relay_calls.py
+++ b/snipejunction/edge/gateway/relay_calls.py
@@ -4,7 +4,8 @@
 
 import asyncio
 from collections.abc import Callable, Iterator
-from typing import TypeAlias
+from random import Random
+from typing import Final, TypeAlias
 
 from snipejunction.components.gateway.messages import (
     PartReport,
@@ -23,6 +24,7 @@
 
 MergedOutcomes: TypeAlias = list[tuple[Attempt, Outcome]]
 OnMerged: TypeAlias = Callable[[str, MergedOutcomes], None]
+_FIRST_CALL_ID_BITS: Final = 48
 
 
 class RelayCall:
@@ -67,12 +69,17 @@
         self,
         peers: PeerTable,
         loop: asyncio.AbstractEventLoop,
+        random: Random,
     ) -> None:
-        """Create an empty set of calls; ``peers`` carries the requests."""
+        """Create an empty set of calls; ``peers`` carries the requests.
+
+        The first call id is drawn from ``random``, so that the response to a
+        call of this host before a restart belongs to no call after it.
+        """
         self._peers = peers
         self._loop = loop
         self._calls: dict[int, RelayCall] = {}
-        self._last_id = 0
+        self._last_id = random.getrandbits(_FIRST_CALL_ID_BITS)
 
     def send_call(
         self,
--- a/snipejunction/edge/gateway/relays.py
+++ b/snipejunction/edge/gateway/relays.py
@@ -33,7 +33,7 @@
         self._peers = peers
         self._table = hooks.table
         self._requesters: set[str] = set()
-        self.calls = RelayCalls(peers, loop)
+        self.calls = RelayCalls(peers, loop, hooks.table.random)
         self.jobs = RelayJobs(peers, hooks, loop)
         self.quotas = QuotaLink(peers, hooks, loop)
 
--- a/snipejunction/edge/gateway/searcher_connection.py
+++ b/snipejunction/edge/gateway/searcher_connection.py
@@ -14,6 +14,7 @@
     OutcomeKind,
     Reply,
 )
+from snipejunction.edge.gateway.carried_ids import CarriedIds
 from snipejunction.edge.gateway.const import (
     DEFAULT_IDLE_SECONDS,
     IDLE_MARGIN_SECONDS,
@@ -46,6 +47,11 @@
 class SearcherConnection(asyncio.Protocol):
     """Sends requests and matches answers to them by request id.
 
+    An id identifies an answer only on a connection that carried it once: a
+    late copy of the answer to an earlier attempt has the same id. So each id
+    is sent once on a connection, and a connection is not used again after an
+    answer without an id.
+
     A searcher may send bytes without end, in a head, a body, trailers, interim
     responses or answers to other requests. All of them count towards
     ``MAX_REPLY_BYTES`` for one request, and what is held of an unfinished
@@ -71,6 +77,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._on_outcome: OnOutcome | None = None
         self._request_id = b''
+        self.carried_ids: Final = CarriedIds()
         self._idle_seconds = DEFAULT_IDLE_SECONDS
         self._idle_since = loop.time()
         self._can_reuse = True
@@ -101,6 +108,8 @@
         # before they are parsed.
         if not self._can_reuse or self._is_parsing:
             return False
+        if self.carried_ids.is_full:
+            return False
         return now < self._idle_since + self._idle_seconds
 
     def send(
@@ -110,9 +119,13 @@
         request_id: bytes,
         on_outcome: OnOutcome,
     ) -> None:
-        """Send a request and call ``on_outcome`` once with its outcome."""
+        """Send a request and call ``on_outcome`` once with its outcome.
+
+        The connection must not have carried ``request_id`` before.
+        """
         assert self._writer is not None
         self._request_id = request_id
+        self.carried_ids.add(request_id)
         self._on_outcome = on_outcome
         self._reply_bytes = 0
         self._reset_reply()
@@ -231,6 +244,11 @@
             # is still to come.
             self._reset_reply()
             return
+        if not echoed and self.carried_ids.has_earlier:
+            # It may be a late answer to an earlier request.
+            self.close(f'answer without an id, status {status}')
+            return
+        self._can_reuse = self._can_reuse and bool(echoed)
         self._idle_since = self._loop.time()
         if self._writer is not None and self._writer.has_unsent_bytes:
             # The searcher answered before it read the whole request.
--- a/snipejunction/edge/gateway/searcher_pool.py
+++ b/snipejunction/edge/gateway/searcher_pool.py
@@ -94,11 +94,12 @@
         connections = self._by_searcher.setdefault(key, set())
         now = self._loop.time()
         for connection in list(connections):
-            if connection.is_reusable(now):
+            if not connection.is_reusable(now):
+                if not connection.is_busy:
+                    connection.close('not to be used again')
+            elif pending.request_id not in connection.carried_ids:
                 self._send_on(connection, pending)
                 return
-            if not connection.is_busy:
-                connection.close('idle for too long')
         task = self._loop.create_task(
             self._async_connect(upstream.record.address, key, pending),
         )
--- a/snipejunction/edge/upstreams.py
+++ b/snipejunction/edge/upstreams.py
@@ -315,6 +315,10 @@
         ended = parse_response(
             dispatch_id, response.status, response.headers, payload
         )
+        name = self._dispatch_name(dispatch_id)
+        if response.headers.get(HEADER_DISPATCH, name) != name:
+            # A late response to an earlier request on the connection.
+            ended = DispatchEnded(dispatch_id, ENDED_LOST)
         if ended.outcome == ENDED_LOST:
             # What follows on the connection is no response either.
             dispatch.connection.abort()
--- a/snipejunction/standin/searcher.py
+++ b/snipejunction/standin/searcher.py
@@ -164,6 +164,8 @@
         response = self._check_refusal(request)
         if response is None:
             response = await self._async_within_limits(request, handler)
+        dispatch_name = request.headers.get(protocol.HEADER_DISPATCH, '')
+        response.headers[protocol.HEADER_DISPATCH] = dispatch_name
         self._add_stated_rate(response)
         return response
 
--- a/tests/edge/gateway/test_relays.py
+++ b/tests/edge/gateway/test_relays.py
@@ -10,9 +10,10 @@
 import socket
 from contextlib import AsyncExitStack
 from functools import partial
+from random import Random
 
 from testtools import TestCase
-from testtools.matchers import Contains, Equals, Is, LessThan
+from testtools.matchers import Contains, Equals, HasLength, Is, LessThan
 
 from snipejunction.components.deployment.messages import (
     DeploymentUpdate,
@@ -20,10 +21,23 @@
     HostsUpdate,
 )
 from snipejunction.components.gateway.document import Document, Service
+from snipejunction.components.gateway.messages import (
+    PartReport,
+    PartsResponse,
+)
+from snipejunction.components.gateway.parts import (
+    Attempt,
+    Part,
+    SendPartsToRelay,
+)
+from snipejunction.components.gateway.upstreams import Upstream
 from snipejunction.components.registration.messages import SearcherUpdate
 from snipejunction.edge.event_log import EventLog
 from snipejunction.edge.gateway.gateway_host import GatewayHost
+from snipejunction.edge.gateway.relay_calls import MergedOutcomes, RelayCalls
 from snipejunction.edge.keys import PeerKeys
+from snipejunction.messages import PeerMessage
+from snipejunction.timers import NEVER
 from tests.components.gateway.stage import make_record, make_route
 from tests.edge.gateway.scripted import (
     HEADER_NAMES,
@@ -187,3 +201,48 @@
             opened_connections = self.hosts[0].pool.opened_connections
         self.assertThat(reply, Contains(b'x-missing: 0'))
         self.assertThat(opened_connections, Equals(3))
+
+
+class _Sent:
+    """Keeps the messages to peers."""
+
+    def __init__(self) -> None:
+        self.messages: list[PeerMessage] = []
+
+    def send(self, host: str, message: PeerMessage) -> None:
+        self.messages.append(message)
+
+
+class RestartedAskerTest(TestCase):
+    """A host that asked a relay and restarted before it answered."""
+
+    def start_call(self, seed: int, outcomes: MergedOutcomes) -> RelayCalls:
+        """Return the calls of a start, with one call of one part."""
+        calls = RelayCalls(self.sent, self.loop, Random(seed))
+        attempt = Attempt(Part('s1'), Upstream(make_record('i-1'), 'c', 0), 0)
+        calls.send_call(
+            SendPartsToRelay('relay', [attempt], 5, 1, 0.1),
+            'r1',
+            b'',
+            b'',
+            lambda relay, found: outcomes.extend(found),
+        )
+        return calls
+
+    def test_late_response(self) -> None:
+        """The response to a call before the restart ends none after it.
+
+        Guards against parts of one request in the answer to another.
+        """
+        self.loop = asyncio.new_event_loop()
+        self.addCleanup(self.loop.close)
+        self.sent = _Sent()
+        outcomes: MergedOutcomes = []
+        self.start_call(1, outcomes)
+        calls = self.start_call(2, outcomes)
+        for message in self.sent.messages:
+            report = PartReport(0, 'answered', 200, 'sig', 0.1, '', NEVER)
+            response = PartsResponse(message.call_id, [report], b'0' * 16)
+            response.sender = 'relay'
+            calls.handle_response(response)
+        self.assertThat(outcomes, HasLength(1))
--- a/tests/edge/gateway/test_searcher_pool.py
+++ b/tests/edge/gateway/test_searcher_pool.py
@@ -11,6 +11,9 @@
 
 from snipejunction.components.gateway.replies import Outcome, OutcomeKind
 from snipejunction.components.gateway.upstreams import Upstream
+from snipejunction.edge.gateway.carried_ids import (
+    MAX_REQUESTS_PER_CONNECTION,
+)
 from snipejunction.edge.gateway.const import (
     CONNECT_SECONDS,
     MAX_RECEIVED_BYTES,
@@ -145,6 +148,12 @@
     received.writer.write(content)
 
 
+async def async_without_id(received: ReceivedRequest) -> None:
+    """Answer without the id of the request."""
+    content = answer(received.request_id)
+    received.writer.write(content.replace(b'X-Id: ', b'X-Other: '))
+
+
 class Caller:
     """Sends requests to one searcher through a pool."""
 
@@ -434,3 +443,83 @@
             await asyncio.sleep(0)
         self.assertThat(outcomes[0].kind, Is(OutcomeKind.REFUSED))
         self.assertThat(pool.connection_count, Equals(0))
+
+
+class LateCopies:
+    """Rejects the first attempt of ``r1`` and repeats that before the second.
+
+    ``lacks_id`` leaves the id out of the copy.
+    """
+
+    def __init__(self, *, lacks_id: bool = False) -> None:
+        self.lacks_id = lacks_id
+        self.rejected: set[str] = set()
+        self.copies: dict[asyncio.StreamWriter, bytes] = {}
+
+    async def __call__(self, received: ReceivedRequest) -> None:
+        content = answer(received.request_id)
+        if received.request_id == 'r1' and not self.rejected:
+            self.rejected.add('r1')
+            content = answer('r1', b'', '503 Full', ('X-Not-Run: 1',))
+            copy = content.replace(b'X-Id: r1\r\n', b'')
+            self.copies[received.writer] = copy if self.lacks_id else content
+        else:
+            received.writer.write(self.copies.pop(received.writer, b''))
+        received.writer.write(content)
+
+
+class RepeatedIdTest(PoolCase):
+    """Attempts of one request at the same searcher."""
+
+    @in_loop
+    async def test_late_copy_of_rejection(self) -> None:
+        """A second attempt is not ended by a copy of the first rejection.
+
+        Guards against requests that count as not run while they run.
+        """
+        async with AsyncExitStack() as stack:
+            caller = await self.async_open(stack, LateCopies())
+            self.assertThat(
+                (await caller.send('r1')).kind, Is(OutcomeKind.SHED)
+            )
+            outcome = await caller.send('r1')
+            self.assertThat(outcome.kind, Is(OutcomeKind.ANSWERED))
+            self.assertThat(self.searcher.connections, Equals(2))
+
+    @in_loop
+    async def test_others_between(self) -> None:
+        """A connection carries an id once, whatever it carried since."""
+        async with AsyncExitStack() as stack:
+            caller = await self.async_open(stack, async_answer)
+            for request_id in ('r1', 'r2', 'r3', 'r1', 'r2', 'r4'):
+                await caller.send(request_id)
+            self.assertThat(self.searcher.connections, Equals(2))
+
+    @in_loop
+    async def test_late_copy_without_id(self) -> None:
+        """An answer without an id on a used connection proves nothing."""
+        async with AsyncExitStack() as stack:
+            caller = await self.async_open(stack, LateCopies(lacks_id=True))
+            await caller.send('r1')
+            outcome = await caller.send('r2')
+            self.assertThat(outcome.kind, Is(OutcomeKind.LOST))
+
+    @in_loop
+    async def test_answer_without_id(self) -> None:
+        """A connection is not used again after an answer without an id."""
+        async with AsyncExitStack() as stack:
+            caller = await self.async_open(stack, async_without_id)
+            for request_id in ('r1', 'r2'):
+                outcome = await caller.send(request_id)
+                self.assertThat(outcome.kind, Is(OutcomeKind.ANSWERED))
+            self.assertThat(self.searcher.connections, Equals(2))
+
+    @in_loop
+    async def test_replaced_connection(self) -> None:
+        """A connection that remembers many ids is replaced."""
+        async with AsyncExitStack() as stack:
+            caller = await self.async_open(stack, async_answer)
+            for number in range(MAX_REQUESTS_PER_CONNECTION + 1):
+                await caller.send(f'r{number}')
+            self.assertThat(self.searcher.connections, Equals(2))
+            self.assertThat(caller.pool.connection_count, Equals(1))
--- a/tests/edge/test_upstreams.py
+++ b/tests/edge/test_upstreams.py
@@ -396,6 +396,17 @@
         outcome = await self.async_outcome(response)
         self.assertThat(outcome, Equals((ENDED_LOST, 1)))
 
+    @in_loop
+    async def test_late_refusal(self) -> None:
+        """A refusal that names another request proves nothing of this one."""
+        for name, outcome in (('h/1/1', ENDED_SHED), ('h/1/0', ENDED_LOST)):
+            refusal = (
+                f'HTTP/1.1 503 Full\r\nX-Refusal: shed\r\nX-Boot-Id: b\r\n'
+                f'X-Dispatch-Id: {name}\r\nContent-Length: 0\r\n\r\n'
+            )
+            found = await self.async_outcome(refusal.encode())
+            self.assertThat(found, Equals((outcome, 1)))
+
     @in_loop
     async def test_redirect(self) -> None:
         """A redirect is an error; following it would send it twice."""
