Forward no status that promises what the searcher did not state

Callers of requests that are not idempotent got 503 for requests that had run: a searcher's own failure was forwarded with its status, and 408, 421, 429 and 503 tell a caller that nothing ran. Clients that keep the protocol send such a request again.

Cause: make_failure forwarded any signed failure. Besides, status 421 counted as the statement of another searcher even without the not-run header, and refusals of the project's own interface took 429 and 503 from the code alone, also where their verdict is "may have run".

Such a reply is answered with 502 in its place; 421 needs the header; the project's own interface looks at the verdict. test_misdirected is replaced by a stricter one: it answered 421 without the header, which the addressed searcher may send after it ran the request.

--- a/snipejunction/components/gateway/answers.py
+++ b/snipejunction/components/gateway/answers.py
@@ -9,7 +9,12 @@
 from snipejunction.components.gateway.document import Route
 from snipejunction.components.gateway.merging import merge_records
 from snipejunction.components.gateway.parts import Part
-from snipejunction.components.gateway.replies import Answer, Outcome, Reply
+from snipejunction.components.gateway.replies import (
+    NOT_RUN_STATUSES,
+    Answer,
+    Outcome,
+    Reply,
+)
 
 STATUS_OK: Final = 200
 STATUS_BAD_GATEWAY: Final = 502
@@ -103,11 +108,18 @@
     route: Route,
     failures: Sequence[Outcome],
 ) -> Reply | None:
-    """Return the signed failure reply of an unsharded request."""
+    """Return the signed failure reply of an unsharded request.
+
+    The outcome of a request that the searcher states not to have run holds no
+    reply. So a reply whose status tells the caller that nothing ran is not
+    forwarded: its searcher may have run the request.
+    """
     if route.shards or not failures:
         return None
     reply = failures[-1].reply
-    return reply if reply is not None and reply.signature else None
+    if reply is None or reply.status in NOT_RUN_STATUSES:
+        return None
+    return reply if reply.signature else None
 
 
 def _describe_failures(failures: Sequence[Outcome]) -> str:
--- a/snipejunction/components/gateway/replies.py
+++ b/snipejunction/components/gateway/replies.py
@@ -13,6 +13,8 @@
 SUCCESSES: Final = range(_FIRST_SUCCESS, _FIRST_REDIRECT)
 # Bytes with any other status are no answer.
 FINAL_STATUSES: Final = range(_FIRST_SUCCESS, _AFTER_LAST_STATUS)
+# Statuses by which a caller knows that its request did not and will not run.
+NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
 
 
 class Reply(Record):
--- a/snipejunction/edge/gateway/searcher_connection.py
+++ b/snipejunction/edge/gateway/searcher_connection.py
@@ -258,11 +258,13 @@
         self._report_outcome(outcome)
 
     def _build_outcome(self, status: int) -> Outcome:
-        if status == _MISDIRECTED:
-            return Outcome(OutcomeKind.MISDIRECTED, detail='another searcher')
         limit_text = find_header(self._headers, self._header_names.stated_limit)
         stated_limit = parse_rate(limit_text.decode('latin-1'))
         if find_header(self._headers, self._header_names.not_run):
+            if status == _MISDIRECTED:
+                return Outcome(
+                    OutcomeKind.MISDIRECTED, detail='another searcher'
+                )
             return Outcome(
                 OutcomeKind.SHED,
                 detail=f'status {status}',
--- a/snipejunction/edge/http/replies.py
+++ b/snipejunction/edge/http/replies.py
@@ -11,6 +11,7 @@
 from snipejunction import const
 from snipejunction.components.control.lifecycle import Phase
 from snipejunction.components.control.systems.addresses import rank_addresses
+from snipejunction.components.gateway.replies import NOT_RUN_STATUSES
 from snipejunction.verdict import Refusal, Verdict
 
 if TYPE_CHECKING:
@@ -20,6 +21,7 @@
 CODE_NO_SUCH_PATH: Final = 'no_such_path'
 
 _DEFAULT_STATUS: Final = 503
+_BAD_GATEWAY: Final = 502
 _STATUS_BY_CODE: Final = MappingProxyType(
     {
         const.CODE_BAD_REQUEST: 400,
@@ -34,6 +36,7 @@
         const.CODE_RATE_LIMIT: 429,
         const.CODE_CONCURRENCY_LIMIT: 429,
         const.CODE_DEADLINE: 504,
+        const.CODE_CANCELLED: 502,
         const.CODE_OUTCOME_UNKNOWN: 502,
         const.CODE_CONNECTION_LOST: 502,
         const.CODE_UPSTREAM_ERROR: 502,
@@ -75,7 +78,7 @@
     document.update(fields)
     if refusal.code in _RETRY_ELSEWHERE_CODES:
         document.update(addresses_document(host, caller))
-    status = http_status(refusal.code)
+    status = refusal_status(refusal)
     response = reply(host, document, status)
     if refusal.retry_after > 0:
         seconds = math.ceil(refusal.retry_after)
@@ -126,6 +129,19 @@
     return _STATUS_BY_CODE.get(code, _DEFAULT_STATUS)
 
 
+def refusal_status(refusal: Refusal) -> int:
+    """Return the HTTP status of a refusal.
+
+    Clients take some statuses for the statement that a request did not run;
+    with another verdict the status is 502 instead.
+    """
+    status = http_status(refusal.code)
+    is_not_run = refusal.verdict_text == Verdict.NOT_RUN.value
+    return (
+        status if is_not_run or status not in NOT_RUN_STATUSES else _BAD_GATEWAY
+    )
+
+
 def success_document(request_id: str) -> dict[str, Any]:
     """Return the fields common to all successful responses."""
     return {'verdict': Verdict.RAN.value, 'request_id': request_id}
--- a/tests/edge/gateway/test_searcher_pool.py
+++ b/tests/edge/gateway/test_searcher_pool.py
@@ -85,8 +85,9 @@
 
 
 async def async_misdirected(received: ReceivedRequest) -> None:
-    """Answer 421, as another searcher does."""
-    content = answer(received.request_id, b'', '421 Misdirected')
+    """Answer 421, to all requests but ``r2`` as another searcher does."""
+    extra = () if received.request_id == 'r2' else ('X-Not-Run: 1',)
+    content = answer(received.request_id, b'', '421 Misdirected', extra)
     received.writer.write(content)
 
 
@@ -274,11 +275,18 @@
 
     @in_loop
     async def test_misdirected(self) -> None:
-        """Status 421 means that another searcher has the address."""
+        """Status 421 means that another searcher has the address.
+
+        Without the not-run header it is a failure like any other: the
+        searcher itself may have run the request.
+        """
         async with AsyncExitStack() as stack:
             caller = await self.async_open(stack, async_misdirected)
             outcome = await caller.send()
             self.assertThat(outcome.kind, Is(OutcomeKind.MISDIRECTED))
+            failed = await caller.send('r2')
+            self.assertThat(failed.kind, Is(OutcomeKind.ANSWERED))
+            self.assertThat(failed.reply.status, Equals(421))
 
 
 class CheatingSearcherTest(PoolCase):
