Close a connection to a searcher that is replaced because of a request id

Callers that send every request with the same id saw the memory of entry hosts grow: since connections carry each id once, each of their requests opened a connection, and the earlier ones stayed open until they were idle for long.

Cause: the pool skipped idle connections that had carried the id and opened another one without closing any.

Why it works: when all idle connections have carried the id, one of them is closed before its replacement is opened, so the number of connections is that of the requests that are in flight at once.

--- a/snipejunction/edge/gateway/searcher_pool.py
+++ b/snipejunction/edge/gateway/searcher_pool.py
@@ -93,13 +93,19 @@
         key = (upstream.searcher_id, upstream.record.born_ms)
         connections = self._by_searcher.setdefault(key, set())
         now = self._loop.time()
+        used: SearcherConnection | None = None
         for connection in list(connections):
-            if not connection.is_reusable(now):
-                if not connection.is_busy:
-                    connection.close('not to be used again')
-            elif pending.request_id not in connection.carried_ids:
+            is_reusable = connection.is_reusable(now)
+            if is_reusable and pending.request_id in connection.carried_ids:
+                used = connection
+            elif is_reusable:
                 self._send_on(connection, pending)
                 return
+            elif not connection.is_busy:
+                connection.close('not to be used again')
+        if used is not None:
+            # A caller may send any number of requests with the same id.
+            used.close('replaced: it has carried the id of a request')
         task = self._loop.create_task(
             self._async_connect(upstream.record.address, key, pending),
         )
--- a/tests/edge/gateway/test_searcher_pool.py
+++ b/tests/edge/gateway/test_searcher_pool.py
@@ -503,6 +503,16 @@
                 await caller.send(request_id)
             self.assertThat(self.searcher.connections, Equals(2))
 
+    @in_loop
+    async def test_one_id(self) -> None:
+        """Requests that all have one id keep no connections open."""
+        async with AsyncExitStack() as stack:
+            caller = await self.async_open(stack, async_answer)
+            for _ in range(5):
+                outcome = await caller.send('r1')
+                self.assertThat(outcome.kind, Is(OutcomeKind.ANSWERED))
+            self.assertThat(caller.pool.connection_count, Equals(1))
+
     @in_loop
     async def test_late_copy_without_id(self) -> None:
         """An answer without an id on a used connection proves nothing."""
