Apply an order only if no newer one was acknowledged since its sender waited

What callers saw: requests reached searchers of a data centre whose evacuation was acknowledged and in force. A control process that had been frozen took the end of that evacuation from its socket, long after the operator had closed the connection and had been acknowledged elsewhere, and the leader committed it behind the newer start.

Cause: drains and roll-outs named no state that they were about, so the log could not tell an old order from a new one. The one check, whether the sender had left, ran before the order was sent and one iteration of the loop too early; after a stop of the process behind it, it says nothing.

Why it works: a host takes the revision of the subject first, then asks the system whether the sender still waits, and the log applies the order only if that revision is still in force or the state agrees with the order. All orders that the sender gives elsewhere afterwards have later revisions. A host whose sender still waits tries again with the newer revision, so no order is refused for being overtaken, and an order that is repeated is acknowledged again.

--- a/snipejunction/components/deployment/const.py
+++ b/snipejunction/components/deployment/const.py
@@ -82,6 +82,12 @@
     'info',
     'entry host {name} accepts requests',
 )
+EVENT_ORDER_OVERTAKEN: Final = EventKind(
+    913,
+    'warning',
+    'order about {subject} at revision {base} has no effect at index {index}: '
+    'revision {revision} is in force',
+)
 EVENT_CUT_OFF: Final = EventKind(
     910,
     'warning',
--- a/snipejunction/components/deployment/machine.py
+++ b/snipejunction/components/deployment/machine.py
@@ -8,10 +8,15 @@
 import msgpack
 
 from snipejunction.commands import Command, LogEvent, SendPeer
+from snipejunction.components.consensus.conditional import (
+    ConditionalEntry,
+    Revisions,
+)
 from snipejunction.components.consensus.machine import register_machine
 from snipejunction.components.deployment.const import (
     EVENT_DOCUMENT_ACCEPTED,
     EVENT_DRAIN_ACCEPTED,
+    EVENT_ORDER_OVERTAKEN,
 )
 from snipejunction.components.deployment.messages import (
     DocumentEntry,
@@ -76,8 +81,15 @@
         self._state.index = index
         node.deployment.state = self._state
         entry = decode(payload)
-        conflict = _find_conflict(entry, self._state)
-        yield from _apply_entry(entry, node, now)
+        overtaken_by = _find_newer_revision(entry, self._state)
+        conflict = ''
+        if overtaken_by:
+            yield _overtaken_event(entry, self._state)
+        else:
+            conflict = _find_conflict(entry, self._state)
+            yield from _apply_entry(entry, node, now)
+            if isinstance(entry, ConditionalEntry) and not conflict:
+                self._state.revisions.advance(entry, index)
         yield from send_deployment_to_all(node, now)
         yield from answer_reads(node)
         order = node.deployment.orders.pop(index, None)
@@ -86,10 +98,15 @@
             # of the order is unknown here.
             return
         if order.origin:
-            committed = OrderCommitted(order.call_id, conflict)
+            committed = OrderCommitted(order.call_id, conflict, overtaken_by)
             yield SendPeer(order.origin, committed)
         else:
-            yield OrderResult(order.call_id, not conflict, conflict)
+            yield OrderResult(
+                order.call_id,
+                not conflict and not overtaken_by,
+                conflict,
+                overtaken_by,
+            )
 
     def snapshot(self) -> bytes:
         """Return the whole state."""
@@ -102,6 +119,7 @@
             state.update_index,
             state.departures.pack(),
             state.rollouts.pack(),
+            state.revisions.pack(),
         ]
         return bytes(msgpack.packb(fields))
 
@@ -167,6 +185,53 @@
         state.departures = unpack_departures(fields[5])
     if len(fields) > 6:
         state.rollouts = unpack_rollouts(fields[6])
+    if len(fields) > 7:
+        state.revisions = Revisions(fields[7])
+
+
+def _find_newer_revision(entry: object, state: DeploymentState) -> int:
+    """Return the revision that overtook an entry, 0 if none did.
+
+    An order that agrees with the state is not overtaken: it is acknowledged
+    again, as a sender repeats it that got no answer.
+    """
+    if not isinstance(entry, ConditionalEntry):
+        # It names what it is about: the version of the document, the start of
+        # the searcher or the number of the roll-out.
+        return 0
+    if not state.revisions.is_overtaken(entry) or _is_in_force(entry, state):
+        return 0
+    return state.revisions.of(entry.subject)
+
+
+def _overtaken_event(
+    entry: ConditionalEntry, state: DeploymentState
+) -> LogEvent:
+    return LogEvent(
+        EVENT_ORDER_OVERTAKEN,
+        subject=entry.subject,
+        base=entry.base,
+        revision=state.revisions.of(entry.subject),
+        index=state.index,
+    )
+
+
+@singledispatch
+def _is_in_force(entry: object, state: DeploymentState) -> bool:
+    """Return whether the state is already as an order wants it."""
+    return False
+
+
+@_is_in_force.register
+def _is_drain_in_force(entry: DrainEntry, state: DeploymentState) -> bool:
+    return state.drained.get(entry.data_centre, False) == entry.is_out
+
+
+@_is_in_force.register
+def _is_rollout_in_force(
+    entry: RolloutStartEntry, state: DeploymentState
+) -> bool:
+    return state.rollouts.is_repeated(entry)
 
 
 @singledispatch
--- a/snipejunction/components/deployment/messages.py
+++ b/snipejunction/components/deployment/messages.py
@@ -5,6 +5,10 @@
 from typing import Final, TypeAlias
 
 from snipejunction.commands import Command
+from snipejunction.components.consensus.conditional import (
+    UNCONDITIONAL,
+    ConditionalEntry,
+)
 from snipejunction.components.consensus.messages import LeaderRequest
 from snipejunction.components.registration.messages import DepartureEntry
 from snipejunction.components.rollouts.messages import (
@@ -32,16 +36,24 @@
         self.content = content
 
 
-@wire(141)
-class DrainEntry(Record):
+@wire(141, optional_fields=1)
+class DrainEntry(ConditionalEntry):
     """Log entry that drains a data centre or puts it back in service."""
 
     __slots__ = ('data_centre', 'is_out')
 
-    def __init__(self, data_centre: str, is_out: bool) -> None:
+    def __init__(
+        self, data_centre: str, is_out: bool, base: int = UNCONDITIONAL
+    ) -> None:
         """Create an entry."""
         self.data_centre = data_centre
         self.is_out = is_out
+        self.base = base
+
+    @property
+    def subject(self) -> str:
+        """Return the data centre."""
+        return f'data centre {self.data_centre}'
 
 
 OrderEntry: TypeAlias = (
@@ -73,19 +85,24 @@
         self.payload = payload
 
 
-@wire(143, optional_fields=1)
+@wire(143, optional_fields=2)
 class OrderCommitted(CallPeerMessage):
     """The leader's answer: the order is committed and applied.
 
     ``conflict`` says why it changed nothing, empty if nothing opposed it.
+    ``overtaken_by`` is the revision of its subject if that is newer than the
+    order, else 0.
     """
 
-    __slots__ = ('conflict',)
+    __slots__ = ('conflict', 'overtaken_by')
 
-    def __init__(self, call_id: int, conflict: str = '') -> None:
+    def __init__(
+        self, call_id: int, conflict: str = '', overtaken_by: int = 0
+    ) -> None:
         """Create an answer to the host that forwarded the order."""
         self.call_id = call_id
         self.conflict = conflict
+        self.overtaken_by = overtaken_by
 
 
 @wire(144)
@@ -292,20 +309,26 @@
     """Answer an order with whether it is known to be committed.
 
     ``conflict`` says why a committed order changed nothing, empty if nothing
-    opposed it.
+    opposed it. ``overtaken_by`` is the revision of its subject if the order
+    had no effect because that is newer, else 0.
     """
 
-    __slots__ = ('call_id', 'conflict', 'is_accepted')
+    __slots__ = ('call_id', 'conflict', 'is_accepted', 'overtaken_by')
 
     def __init__(
-        self, call_id: int, is_accepted: bool, conflict: str = ''
+        self,
+        call_id: int,
+        is_accepted: bool,
+        conflict: str = '',
+        overtaken_by: int = 0,
     ) -> None:
-        """Create a result; without a conflict, the outcome is unknown
-        unless accepted.
+        """Create a result; the outcome is unknown unless it is accepted, in
+        conflict or overtaken.
         """
         self.call_id = call_id
         self.is_accepted = is_accepted
         self.conflict = conflict
+        self.overtaken_by = overtaken_by
 
 
 class ReadRequest(CallMessage):
--- a/snipejunction/components/deployment/systems/orders.py
+++ b/snipejunction/components/deployment/systems/orders.py
@@ -83,7 +83,10 @@
     node: Node,
     now: float,
 ) -> Iterator[Command]:
-    yield OrderResult(message.call_id, not message.conflict, message.conflict)
+    is_accepted = not message.conflict and not message.overtaken_by
+    yield OrderResult(
+        message.call_id, is_accepted, message.conflict, message.overtaken_by
+    )
 
 
 @handle.register
--- a/snipejunction/components/deployment/tables.py
+++ b/snipejunction/components/deployment/tables.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from snipejunction.components.consensus.conditional import Revisions
 from snipejunction.components.deployment.messages import (
     EntryHeartbeat,
     EntryRecord,
@@ -25,6 +26,7 @@
         'departures',
         'drained',
         'index',
+        'revisions',
         'rollouts',
         'update_index',
         'version',
@@ -38,6 +40,7 @@
         self.drained: dict[str, bool] = {}
         self.departures = Departures()
         self.rollouts = RolloutState()
+        self.revisions = Revisions()
         self.update_index = 0
 
 
--- a/snipejunction/components/rollouts/messages.py
+++ b/snipejunction/components/rollouts/messages.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+from snipejunction.components.consensus.conditional import (
+    UNCONDITIONAL,
+    ConditionalEntry,
+)
 from snipejunction.components.rollouts.const import RUNNING
 from snipejunction.helpers.records import Record
 from snipejunction.helpers.wire import wire
 from snipejunction.messages import PeerMessage
 
 
-@wire(161)
-class RolloutStartEntry(Record):
+@wire(161, optional_fields=1)
+class RolloutStartEntry(ConditionalEntry):
     """Log entry of an order to move a service to another version.
 
     ``duration`` is the time that the order gives, in seconds, from
@@ -19,13 +23,24 @@
     __slots__ = ('duration', 'ordered_ms', 'service', 'target')
 
     def __init__(
-        self, service: str, target: str, duration: float, ordered_ms: int
+        self,
+        service: str,
+        target: str,
+        duration: float,
+        ordered_ms: int,
+        base: int = UNCONDITIONAL,
     ) -> None:
         """Create an entry."""
         self.service = service
         self.target = target
         self.duration = duration
         self.ordered_ms = ordered_ms
+        self.base = base
+
+    @property
+    def subject(self) -> str:
+        """Return the roll-outs of the service."""
+        return f'roll-out of {self.service}'
 
 
 @wire(162)
--- a/snipejunction/components/rollouts/tables.py
+++ b/snipejunction/components/rollouts/tables.py
@@ -59,7 +59,7 @@
         self, entry: RolloutStartEntry, index: int
     ) -> RolloutRecord | None:
         """Apply an order; return its record, None if it changes nothing."""
-        if self.find_conflict(entry) or self._is_repeated(entry):
+        if self.find_conflict(entry) or self.is_repeated(entry):
             return None
         record = RolloutRecord(
             entry.service,
@@ -105,7 +105,8 @@
         frames = [encode(record) for record in self.records.values()]
         return [frames, self.versions]
 
-    def _is_repeated(self, entry: RolloutStartEntry) -> bool:
+    def is_repeated(self, entry: RolloutStartEntry) -> bool:
+        """Return whether an order was applied already, not long ago."""
         record = self.records.get(entry.service)
         if record is None or record.target != entry.target:
             return False
--- a/snipejunction/edge/control_host.py
+++ b/snipejunction/edge/control_host.py
@@ -39,6 +39,7 @@
 from snipejunction.edge.gateway.service_metrics import ServiceMetrics
 from snipejunction.edge.gauges import control_gauges
 from snipejunction.edge.keys import PeerKeys
+from snipejunction.edge.orders import OrderCalls
 from snipejunction.edge.peers import Address, PeerTable, async_listen
 from snipejunction.edge.storage import Storage
 from snipejunction.errors import RefusedError, StorageError
@@ -84,6 +85,7 @@
         self._node.registration.interval = profile.announce_seconds
         self._runner = CoreRunner(core, self, loop)
         self._calls = CallTable(self.submit, core.node.random)
+        self.orders: Final = OrderCalls(core.node, self._async_call, loop)
         self.rollouts: Final = rollouts.RolloutCalls(
             core.node, self._async_call, loop
         )
@@ -149,14 +151,6 @@
         while not is_idle(self._node) and self._loop.time() < end:
             await asyncio.sleep(_STOP_POLL_SECONDS)
 
-    async def async_order(self, make_order: Callable[[int], Message]) -> bool:
-        """Submit an order; return True only if it is known to be committed.
-
-        ``make_order`` builds its message from the call id.
-        """
-        answer = await self._async_call(make_order)
-        return isinstance(answer, OrderResult) and answer.is_accepted
-
     async def async_read(self) -> bytes | None:
         """Return the newest document, None if it cannot be confirmed.
 
--- a/snipejunction/edge/gateway/caller_connection.py
+++ b/snipejunction/edge/gateway/caller_connection.py
@@ -27,6 +27,7 @@
 from snipejunction.edge.gateway.request_parser import RequestParser
 from snipejunction.edge.gateway.unread_answers import UnreadAnswers
 from snipejunction.edge.receive_budget import ReceiveBudget
+from snipejunction.edge.resets import is_closed_by_peer
 
 _MAX_PIPELINED_REQUESTS: Final = 16
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -78,10 +79,9 @@
         self.on_disconnect: Callable[[], None] | None = None
         self.is_answered = False
 
-    @property
-    def is_disconnected(self) -> bool:
-        """Return whether the caller disconnected."""
-        return self._connection.is_disconnected
+    def is_waiting(self) -> bool:
+        """Return whether the caller waits for the answer at this moment."""
+        return not self.is_answered and not self._connection.is_closed_by_caller
 
     def header(self, name: bytes) -> bytes:
         """Return the value of a header, empty if absent."""
@@ -162,7 +162,6 @@
         self._has_last = False
         self._is_continue_due = False
         self._is_writing_paused = False
-        self.is_disconnected = False
         # Whether the caller ever sent a whole request.
         self.is_known = False
 
@@ -172,6 +171,12 @@
         is_serving = self._current is not None or bool(self._queued)
         return not is_serving and self._receiving_since is None
 
+    @property
+    def is_closed_by_caller(self) -> bool:
+        """Return whether the caller has closed the connection by now."""
+        transport = self._transport
+        return transport is None or is_closed_by_peer(transport)
+
     @property
     def has_unsent_bytes(self) -> bool:
         """Return whether the write buffer holds bytes of an answer."""
@@ -221,7 +226,6 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Call ``on_disconnect`` of all unanswered requests."""
-        self.is_disconnected = True
         self._account.release()
         if self._unread is not None:
             self._unread.release()
@@ -275,13 +279,15 @@
         """Append a part of the request target."""
         self._input.check()
         self._parser.partial.add_target(url)
-        self._check_head_size()
+        if self._input.has_long_head(self._parser.partial, self._server.limits):
+            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def on_header(self, name: bytes, field: bytes) -> None:
         """Store a header."""
         self._input.check()
         self._parser.partial.add_header(name, field)
-        self._check_head_size()
+        if self._input.has_long_head(self._parser.partial, self._server.limits):
+            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def on_headers_complete(self) -> None:
         """Record that the head is complete; ask for an expected body."""
@@ -407,13 +413,6 @@
             self._refuse(excess)
         self._update_account()
 
-    def _check_head_size(self) -> None:
-        if (
-            self._parser.partial.head_bytes
-            > self._server.limits.max_header_bytes
-        ):
-            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-
     def _refuse(self, status: HTTPStatus, reason: str = '') -> None:
         if self._is_refused:
             return
--- a/snipejunction/edge/gateway/input_bounds.py
+++ b/snipejunction/edge/gateway/input_bounds.py
@@ -48,6 +48,12 @@
         left = _max_head_bytes(limits) - self.message_bytes
         return max(1, min(left, MAX_HEAD_SLICE_BYTES))
 
+    def has_long_head(
+        self, partial: PartialRequest, limits: CallerLimits
+    ) -> bool:
+        """Return whether complete lines of a head are over the limit."""
+        return partial.head_bytes > limits.max_header_bytes
+
     def find_excess(
         self, partial: PartialRequest, limits: CallerLimits
     ) -> HTTPStatus | None:
--- a/snipejunction/edge/rollouts.py
+++ b/snipejunction/edge/rollouts.py
@@ -1,31 +1,20 @@
-"""Orders and reads of roll-outs at a control host."""
+"""Reads of roll-outs at a control host."""
 
 from __future__ import annotations
 
 import time
 from asyncio import AbstractEventLoop
-from collections.abc import Awaitable, Callable
-from functools import partial
-from typing import Final, TypeAlias
+from typing import Final
 
-from snipejunction.commands import Command
 from snipejunction.components.deployment.messages import (
-    OrderRequest,
-    OrderResult,
     ReadRequest,
     ReadResult,
 )
 from snipejunction.components.rollouts import systems
-from snipejunction.components.rollouts.messages import (
-    RolloutRecord,
-    RolloutStartEntry,
-)
-from snipejunction.messages import Message
+from snipejunction.components.rollouts.messages import RolloutRecord
+from snipejunction.edge.orders import Call
 from snipejunction.node import Node
 
-Call: TypeAlias = Callable[
-    [Callable[[int], Message]], Awaitable[Command | None]
-]
 SYSTEMS: Final = systems
 
 
@@ -58,11 +47,6 @@
         records = await self.async_read()
         return None if records is None else self._has_service(service)
 
-    async def async_order(self, entry: RolloutStartEntry) -> OrderResult | None:
-        """Order a roll-out; return None if the outcome is unknown."""
-        answer = await self._call(partial(OrderRequest, entry=entry))
-        return answer if isinstance(answer, OrderResult) else None
-
     async def async_read(self) -> dict[str, RolloutRecord] | None:
         """Return the roll-outs by service, None if they are unconfirmed."""
         answer = await self._call(ReadRequest)
--- a/snipejunction/platform/calls.py
+++ b/snipejunction/platform/calls.py
@@ -5,18 +5,15 @@
 import asyncio
 import time
 from collections.abc import Coroutine
-from functools import partial
 from typing import Any, Final
 from urllib.parse import unquote
 
 from snipejunction.components.deployment.messages import (
     DocumentEntry,
     DrainEntry,
-    OrderRequest,
 )
 from snipejunction.components.registration.const import LEAVING
 from snipejunction.components.registration.messages import (
-    DepartureRequest,
     SearcherAnnounced,
     SearcherLeft,
     SearcherRecord,
@@ -98,8 +95,9 @@
     async def _async_handle_leaving(
         self, request: CallerRequest, announced: SearcherAnnounced
     ) -> None:
-        make_order = partial(DepartureRequest, notice=announced)
-        is_accepted = await self._host.async_order(make_order)
+        is_accepted = await self._host.orders.async_depart(
+            announced, request.is_waiting
+        )
         self._respond_heartbeat(request, announced.searcher, is_accepted)
 
     def _respond_heartbeat(
@@ -137,17 +135,16 @@
     async def _async_handle_left(
         self, request: CallerRequest, left: SearcherLeft
     ) -> None:
-        make_order = partial(DepartureRequest, notice=left)
-        is_accepted = await self._host.async_order(make_order)
+        is_accepted = await self._host.orders.async_depart(
+            left, request.is_waiting
+        )
         respond_status(request, _OK if is_accepted else _UNAVAILABLE)
 
     async def _async_handle_document_call(
         self, request: CallerRequest, path: str
     ) -> None:
-        # After a pause of the process, its sockets hold old calls. One loop
-        # iteration detects the callers that have disconnected.
-        await asyncio.sleep(0)
-        if request.is_disconnected:
+        # After a pause of the process, its sockets hold old calls.
+        if not request.is_waiting():
             return
         if self._profile.exposure is not None and is_rollout_call(path):
             await async_handle_rollout_call(request, path, self._host)
@@ -158,8 +155,8 @@
         entry = self._read_entry(request, path)
         if entry is None:
             return
-        make_order = partial(OrderRequest, entry=entry)
-        is_accepted = await self._host.async_order(make_order)
+        outcome = await self._host.orders.async_send(entry, request.is_waiting)
+        is_accepted = outcome is not None and outcome.is_accepted
         respond_status(request, _OK if is_accepted else _UNAVAILABLE)
 
     async def _async_respond_document(self, request: CallerRequest) -> None:
--- a/snipejunction/platform/rollouts.py
+++ b/snipejunction/platform/rollouts.py
@@ -70,7 +70,7 @@
     """Answer a call about roll-outs."""
     call = (request.method, path)
     if call == (b'POST', names.PATH_START_ROLLOUT):
-        await _async_start(request, host.rollouts)
+        await _async_start(request, host)
     elif call[0] == b'GET' and path.startswith(names.PATH_GET_ROLLOUT):
         service = unquote(path.removeprefix(names.PATH_GET_ROLLOUT))
         await _async_respond_state(request, service, host.rollouts)
@@ -78,14 +78,14 @@
         respond_status(request, _NOT_FOUND)
 
 
-async def _async_start(request: CallerRequest, calls: RolloutCalls) -> None:
+async def _async_start(request: CallerRequest, host: ControlHost) -> None:
     ordered_ms = time.time_ns() // _NANOSECONDS_PER_MILLISECOND
     try:
         entry = read_order(request.body, ordered_ms)
     except SettingsError as error:
         respond_json(request, _BAD_REQUEST, {'error': str(error)})
         return
-    has_service = await calls.async_has_service(entry.service)
+    has_service = await host.rollouts.async_has_service(entry.service)
     if has_service is None:
         respond_status(request, _UNAVAILABLE)
         return
@@ -93,7 +93,7 @@
         problem = f'unknown service {entry.service!r}'
         respond_json(request, _BAD_REQUEST, {'error': problem})
         return
-    outcome = await calls.async_order(entry)
+    outcome = await host.orders.async_send(entry, request.is_waiting)
     if outcome is not None and outcome.conflict:
         respond_json(request, _CONFLICT, {'error': outcome.conflict})
     elif outcome is not None and outcome.is_accepted:
--- a/tests/components/deployment/test_orders.py
+++ b/tests/components/deployment/test_orders.py
@@ -5,10 +5,15 @@
 from testtools import TestCase
 from testtools.matchers import Equals, Is
 
+from snipejunction.components.consensus.conditional import (
+    UNCONDITIONAL,
+    Revisions,
+)
 from snipejunction.components.deployment.machine import DeploymentMachine
 from snipejunction.components.deployment.messages import (
     DocumentEntry,
     DrainEntry,
+    OrderResult,
     ReadConfirmed,
     ReadResult,
 )
@@ -88,6 +93,121 @@
             self.assertThat(answer.content, Equals(b'kept'))
 
 
+class OvertakenTest(TestCase):
+    """Orders that waited while their sender went to another host."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.cluster = ControlCluster(12)
+
+    def result(self, name: str, is_out: bool, base: int) -> OrderResult:
+        """Order a drain with a base; return the result."""
+        entry = DrainEntry('dc1', is_out, base)
+        call_id = self.cluster.order(name, entry)
+        self.cluster.run(1)
+        return next(
+            output
+            for output in self.cluster.hosts[name].outputs
+            if isinstance(output, OrderResult) and output.call_id == call_id
+        )
+
+    def drained(self) -> list[bool]:
+        """Return whether the data centre is out, by host."""
+        return [
+            host.node.deployment.state.drained['dc1']
+            for host in self.cluster.running_hosts
+        ]
+
+    def revisions(self) -> set[int]:
+        """Return the revisions of the data centre at all hosts."""
+        return {
+            host.node.deployment.state.revisions.of('data centre dc1')
+            for host in self.cluster.running_hosts
+        }
+
+    def check_stale(self, name: str, is_out: bool) -> None:
+        """An order from before both of its successors changes nothing."""
+        base = max(self.revisions())
+        for successor in (is_out, not is_out):
+            newest = self.result('h2', successor, max(self.revisions()))
+            self.assertThat(newest.is_accepted, Is(True))
+        revisions = self.revisions()
+        stale = self.result(name, is_out, base)
+        self.assertThat(stale.is_accepted, Is(False))
+        self.assertThat({stale.overtaken_by}, Equals(revisions))
+        self.assertThat(self.drained(), Equals([not is_out for _ in SEEDS]))
+        self.assertThat(self.revisions(), Equals(revisions))
+
+    def test_both_directions(self) -> None:
+        """An acknowledged start outlasts an older end, and the reverse."""
+        for name in SEEDS:
+            for is_out in (True, False):
+                self.check_stale(name, is_out)
+
+    def test_repeated(self) -> None:
+        """An order that agrees with the state is acknowledged again."""
+        first = self.result('h1', True, 0)
+        revision = max(self.revisions())
+        again = self.result('h3', True, 0)
+        accepted = (first.is_accepted, again.is_accepted)
+        self.assertThat(accepted, Equals((True, True)))
+        self.assertThat(min(self.revisions()) > revision, Is(True))
+
+    def test_earlier_release(self) -> None:
+        """Orders without a base are applied."""
+        for is_out in (True, False):
+            answer = self.result('h2', is_out, UNCONDITIONAL)
+            self.assertThat(answer.is_accepted, Is(True))
+            self.assertThat(self.drained(), Equals([is_out for _ in SEEDS]))
+        entry = DrainEntry('dc1', is_out=True)
+        self.assertThat(encode(entry), Equals(b'\x94\x01\xcc\x8d\xa3dc1\xc3'))
+
+    def test_snapshot(self) -> None:
+        """Revisions come back from a snapshot."""
+        self.result('h1', True, 0)
+        self.result('h1', False, max(self.revisions()))
+        host = self.cluster.hosts['h2']
+        snapshot = host.replica.machine.snapshot()
+        revisions = self.revisions()
+        host.node.deployment.state.revisions = Revisions()
+        restored = DeploymentMachine().restore(
+            host.node, snapshot, 9, self.cluster.now
+        )
+        list(restored)
+        self.assertThat(self.revisions(), Equals(revisions))
+
+    def test_power_loss_of_all(self) -> None:
+        """Revisions outlast a restart of all hosts."""
+        base = max(self.revisions())
+        self.result('h1', True, base)
+        newest = self.result('h1', False, max(self.revisions()))
+        self.assertThat(newest.is_accepted, Is(True))
+        for name in SEEDS:
+            self.cluster.crash(name)
+        for name in SEEDS:
+            self.cluster.start(name)
+        self.cluster.wait_leader()
+        self.cluster.run(2)
+        stale = self.result('h2', True, base)
+        self.assertThat(stale.overtaken_by, Equals(max(self.revisions())))
+
+    def test_thawed_leader(self) -> None:
+        """An order that a cut-off leader proposed does not come back."""
+        leader = self.cluster.leader().name
+        others = [name for name in SEEDS if name != leader]
+        self.cluster.isolate(leader)
+        base = max(self.revisions())
+        self.cluster.order(leader, DrainEntry('dc1', True, base))
+        # The others elect a leader.
+        self.cluster.run(5)
+        for is_out in (True, False):
+            newest = self.result(others[0], is_out, max(self.revisions()))
+            self.assertThat(newest.is_accepted, Is(True))
+        self.cluster.heal()
+        self.cluster.run(5)
+        self.assertThat(self.drained(), Equals([False for _ in SEEDS]))
+
+
 class ReadsTest(TestCase):
     """Linearizable reads."""
 
--- a/tests/components/rollouts/test_orders.py
+++ b/tests/components/rollouts/test_orders.py
@@ -4,12 +4,13 @@
 
 import msgpack
 from testtools import TestCase
-from testtools.matchers import Contains, Equals, Is
+from testtools.matchers import Contains, Equals, Is, Not
 
 from snipejunction.components.deployment.machine import DeploymentMachine
 from snipejunction.components.deployment.messages import (
     DeploymentUpdate,
     OrderCommitted,
+    OrderResult,
 )
 from snipejunction.components.rollouts.const import (
     COMPLETED,
@@ -121,6 +122,66 @@
         self.assertThat(decode(encode(update)), Equals(update))
 
 
+class OvertakenTest(TestCase):
+    """Orders that waited while their sender went to another host."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.cluster = make_cluster(4)
+
+    def result(self, name: str, target: str, base: int) -> OrderResult:
+        """Order a roll-out with a base; return the result."""
+        entry = RolloutStartEntry(
+            SERVICE, target, DURATION, self.cluster.unix_ms(), base
+        )
+        call_id = self.cluster.order(name, entry)
+        self.cluster.run(1)
+        outcome = self.cluster.outcome(name, call_id)
+        self.assertThat(outcome, Not(Is(None)))
+        return outcome
+
+    def revision(self) -> int:
+        """Return the revision of the service at the leader."""
+        state = self.cluster.leader().node.deployment.state
+        return state.revisions.of(f'roll-out of {SERVICE}')
+
+    def end_rollout(self) -> None:
+        """Run until the roll-out that is in progress has ended."""
+        ended = (COMPLETED, ROLLED_BACK)
+        self.cluster.run_until(lambda: self.cluster.record().state in ended)
+        # Until then the same order counts as repeated.
+        self.cluster.run(2 * DURATION)
+
+    def test_stale(self) -> None:
+        """An order from before a later one starts nothing after its end."""
+        for target in ('v2', 'v1'):
+            base = self.revision()
+            newest = self.result('h1', target, base)
+            self.assertThat(newest.is_accepted, Is(True))
+            self.end_rollout()
+        number = self.cluster.record().number
+        for name in SEEDS:
+            stale = self.result(name, 'v2', base)
+            self.assertThat(stale.overtaken_by, Equals(self.revision()))
+        self.assertThat(self.cluster.record().number, Equals(number))
+        answer = self.result('h2', 'v2', self.revision())
+        self.assertThat(answer.is_accepted, Is(True))
+
+    def test_repeated(self) -> None:
+        """An order is acknowledged again while it is in progress."""
+        for name in SEEDS:
+            answer = self.result(name, 'v2', 0)
+            self.assertThat(answer.is_accepted, Is(True))
+
+    def test_conflict(self) -> None:
+        """An order that is in conflict overtakes no other."""
+        self.result('h1', 'v2', 0)
+        revision = self.revision()
+        refused = self.result('h2', 'v3', revision)
+        self.assertThat(refused.conflict, Not(Equals('')))
+        self.assertThat(self.revision(), Equals(revision))
+
+
 class MachineTest(TestCase):
     """Snapshots of the state machine."""
 
