--- a/tests/edge/test_resets.py
+++ b/tests/edge/test_resets.py
@@ -11,7 +11,7 @@
 
 from snipejunction.edge.resets import is_closed_by_peer
 
-LINGER_NOT = struct.pack('ii', 1, 0)
+NO_LINGER = struct.pack('ii', 1, 0)
 
 
 class ClosedTest(TestCase):
@@ -44,7 +44,7 @@
 
     def test_reset(self) -> None:
         """A reset counts as closed."""
-        self.peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOT)
+        self.peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
         self.peer.close()
         self.assertThat(self.is_closed(), Is(True))
 
